--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -8,8 +8,8 @@
 	"io"
 	"os"
 
-	"dahliaflow/decide"
-	"dahliaflow/internal/wire"
+	"kiteloft/decide"
+	"kiteloft/internal/wire"
 )
 
 func main() {
--- a/decide/example_test.go
+++ b/decide/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"dahliaflow/decide"
+	"kiteloft/decide"
 )
 
 // A gatherer owns the clock and the transport; the module only decides.
--- a/internal/wire/settings.go
+++ b/internal/settings/settings.go
@@ -1,13 +1,33 @@
-package wire
+// Package settings reads the settings object that an instance is given at its
+// start. The simulator adapter finds it in the first message, the mixer in its
+// configuration; both read it here.
+package settings
 
 import (
-	"encoding/json"
 	"fmt"
+	"math"
 	"time"
 
-	"dahliaflow/decide"
+	jsoniter "github.com/json-iterator/go"
+
+	"kiteloft/decide"
 )
 
+var json = jsoniter.ConfigCompatibleWithStandardLibrary
+
+// Settings is what an instance is told at its start.
+type Settings struct {
+	Module     decide.Settings
+	LoadFields []string // names of a load report's values, in order
+
+	Zones          []string // names of zones, by index
+	Shards         int      // number of shards; 0: not told
+	ConnIdle       time.Duration
+	ConnectTimeout time.Duration
+	StreamsPerConn int
+	GraceToAnswer  time.Duration // how long after the client's time an answer still counts
+}
+
 // span is a time in seconds.
 type span time.Duration
 
@@ -16,10 +36,18 @@
 	if err := json.Unmarshal(b, &x); err != nil {
 		return err
 	}
-	*s = span(seconds(x))
+	*s = span(Seconds(x))
 	return nil
 }
 
+// Seconds turns fractional seconds into a time; the simulator counts whole
+// microseconds.
+func Seconds(x float64) time.Duration {
+	us := math.Round(x * 1e6)
+	const most = float64(math.MaxInt64 / int64(time.Microsecond))
+	return time.Duration(max(-most, min(most, us))) * time.Microsecond
+}
+
 // bootInfo is the settings object as the wire names it.
 type bootInfo struct {
 	Balancers int  `json:"balancers"`
@@ -38,10 +66,12 @@
 		Name      string  `json:"name"`
 		Allowance float64 `json:"allowance_per_s"`
 	} `json:"tenants"`
-	Discovery string `json:"discovery"`
+	Discovery string   `json:"discovery"`
+	Zones     []string `json:"failure_domains"`
 	Info      struct {
 		PerCall    int       `json:"per_call"`
 		Positions  int       `json:"positions"`
+		Ranges     int       `json:"ranges"`
 		Span       int       `json:"span"`
 		Floor      []float64 `json:"class_floor"`
 		Need       []float64 `json:"need_by_class"`
@@ -52,16 +82,20 @@
 		Fields []string `json:"fields"`
 	} `json:"feedback"`
 	Caps struct {
-		Cancel        bool `json:"cancel"`
-		MaxAttempts   int  `json:"max_attempts"`
-		MaxOpen       int  `json:"max_open"`
-		MaxRetryAfter span `json:"max_retry_after"`
-		Probes        bool `json:"probes"`
-		RetryAfter    bool `json:"retry_after"`
-		SecondCopies  bool `json:"second_copies"`
+		Cancel         bool `json:"cancel"`
+		ConnIdle       span `json:"conn_idle"`
+		ConnectTimeout span `json:"connect_timeout"`
+		StreamsPerConn int  `json:"streams_per_conn"`
+		MaxAttempts    int  `json:"max_attempts"`
+		MaxOpen        int  `json:"max_open"`
+		MaxRetryAfter  span `json:"max_retry_after"`
+		Probes         bool `json:"probes"`
+		RetryAfter     bool `json:"retry_after"`
+		SecondCopies   bool `json:"second_copies"`
 	} `json:"caps"`
 	Rules struct {
 		AskWithin  span    `json:"ask_within"`
+		Grace      span    `json:"grace_to_answer"`
 		Cold       span    `json:"cold"`
 		ColdFrom   float64 `json:"cold_from"`
 		DrainGrace span    `json:"drain_grace"`
@@ -75,14 +109,20 @@
 	OverShareWorth float64 `json:"over_share_worth"`
 }
 
-// parseSettings reads boot_info and the names of the load report's fields.
-// An unknown key is passed over; an absent optional one stays zero.
-func parseSettings(text string) (decide.Settings, []string, error) {
+// Parse reads the settings object. An unknown key is passed over; an absent
+// optional one stays zero.
+func Parse(text []byte) (Settings, error) {
 	var b bootInfo
-	if err := json.Unmarshal([]byte(text), &b); err != nil {
-		return decide.Settings{}, nil, fmt.Errorf("reading settings: %w", err)
+	if err := json.Unmarshal(text, &b); err != nil {
+		return Settings{}, fmt.Errorf("reading settings: %w", err)
+	}
+	out := Settings{
+		LoadFields: b.Feedback.Fields, Zones: b.Zones, Shards: b.Info.Ranges,
+		ConnIdle: time.Duration(b.Caps.ConnIdle), ConnectTimeout: time.Duration(b.Caps.ConnectTimeout),
+		StreamsPerConn: b.Caps.StreamsPerConn, GraceToAnswer: time.Duration(b.Rules.Grace),
 	}
-	s := decide.Settings{
+	s := &out.Module
+	*s = decide.Settings{
 		Aggregators: b.Balancers, Tick: time.Duration(b.Tick),
 		Cells: b.Info.Positions, Span: b.Info.Span, PartsPerCall: b.Info.PerCall,
 		AskDiscovery: b.Discovery == "ask",
@@ -98,7 +138,7 @@
 	for i, c := range b.Classes {
 		sem, err := parseSemantics(c.Semantics)
 		if err != nil {
-			return s, nil, fmt.Errorf("class %d: %w", i, err)
+			return out, fmt.Errorf("class %d: %w", i, err)
 		}
 		s.Classes = append(s.Classes, decide.Class{
 			Name: c.Name, Semantics: sem, Aim: time.Duration(c.Aim), AimStretch: c.AimStretch,
@@ -111,7 +151,7 @@
 	for _, t := range b.Tenants {
 		s.Tenants = append(s.Tenants, decide.Tenant{Name: t.Name, Allowance: t.Allowance})
 	}
-	return s, b.Feedback.Fields, nil
+	return out, nil
 }
 
 // at returns the i-th value, or zero where the list is shorter.
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -14,7 +14,8 @@
 	"strings"
 	"time"
 
-	"dahliaflow/decide"
+	"kiteloft/decide"
+	"kiteloft/internal/settings"
 )
 
 const (
@@ -173,12 +174,12 @@
 	case "SPAWN":
 		it.Kind = KindSpawn
 		it.Seed = f.unsigned("rng_seed")
-		set, fields, err := parseSettings(f.rest("boot_info"))
+		set, err := settings.Parse([]byte(f.rest("boot_info")))
 		if err != nil {
 			f.fail("boot_info", err)
 		}
-		it.Settings = set
-		d.loads[it.Instance] = fields
+		it.Settings = set.Module
+		d.loads[it.Instance] = set.LoadFields
 	case "DESTROY":
 		it.Kind = KindDestroy
 		delete(d.loads, it.Instance)
@@ -486,11 +487,5 @@
 	if err != nil {
 		return 0, err
 	}
-	return seconds(x), nil
-}
-
-func seconds(x float64) time.Duration {
-	us := math.Round(x * 1e6)
-	const most = float64(math.MaxInt64 / int64(time.Microsecond))
-	return time.Duration(max(-most, min(most, us))) * time.Microsecond
+	return settings.Seconds(x), nil
 }
--- a/internal/wire/encode.go
+++ b/internal/wire/encode.go
@@ -9,7 +9,7 @@
 	"strings"
 	"time"
 
-	"dahliaflow/decide"
+	"kiteloft/decide"
 )
 
 // Encoder writes replies.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"dahliaflow/decide"
+	"kiteloft/decide"
 )
 
 func decodeAll(t *testing.T, text string) ([]Batch, error) {
