--- /dev/null
+++ b/cmd/kiteloft/main.go
@@ -0,0 +1,102 @@
+// Command kiteloft is the mixer: it takes queries from clients, has the decision
+// module say where their parts go, and gives each one final answer.
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"kiteloft/decide"
+	"kiteloft/internal/broker"
+	"kiteloft/internal/config"
+	"kiteloft/internal/discovery"
+	"kiteloft/internal/front/platform"
+	"kiteloft/internal/node"
+	"kiteloft/internal/transport"
+)
+
+const (
+	brokerFile = "deploy/broker.toml"
+	// clockStart is what the module's clock shows at our start: servers that
+	// started before us have to have a time above zero.
+	clockStart  = 24 * time.Hour
+	ownFiles    = 40                     // descriptors that are not connections
+	memoryShare = 0.7                    // share of the memory limit at which the collector works harder
+	acceptOn    = 500 * time.Millisecond // how long new connections are taken after SIGTERM; 0.4 s are asked for
+	lingerOn    = 300 * time.Millisecond // how long clients get to take their last answer
+)
+
+func main() {
+	log := zerolog.New(os.Stderr).With().Timestamp().Logger()
+	cfg, err := config.Load(os.Getenv, brokerFile)
+	if err != nil {
+		log.Error().Err(err).Msg("configuration is faulty")
+		os.Exit(2)
+	}
+	if err := serve(cfg, log.With().Str("mixer", cfg.Name).Logger()); err != nil {
+		log.Error().Err(err).Msg("mixer failed")
+		os.Exit(1)
+	}
+}
+
+// coreLog writes the core's log lines.
+type coreLog struct{ zerolog.Logger }
+
+func (l coreLog) Module(line string) { l.Info().Str("line", line).Msg("module") }
+
+func (l coreLog) Guard(rule, id, about string) {
+	l.Warn().Str("rule", rule).Str("id", id).Str("about", about).Msg("a guard of the core stepped in")
+}
+
+func serve(cfg config.Config, log zerolog.Logger) error {
+	runtime.GOMAXPROCS(1) // we are given one core
+	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.MemoryMB) * (1 << 20)))
+
+	started := time.Now()
+	clock := func() time.Duration { return clockStart + time.Since(started) }
+	set := cfg.Settings
+	core := broker.New(set, decide.New(set.Module, cfg.Seed), clock, coreLog{log})
+	net := transport.NewNet(core, cfg.Sockets-ownFiles, nil)
+	links := node.New(core, net, node.Limits{ConnectTimeout: set.ConnectTimeout, ConnIdle: set.ConnIdle,
+		StreamsPerConn: set.StreamsPerConn}, log)
+	dir := discovery.New(core, net, cfg.Discovery, set.Zones, started.Add(-clockStart), log)
+	core.Use(links, dir)
+	front := platform.New(core, set.Module.Classes, log)
+	ln, err := net.Listen(cfg.Listen, func(c *transport.Conn) transport.Handler { return front.Accept(c) })
+	if err != nil {
+		return fmt.Errorf("LB_LISTEN: %w", err)
+	}
+	core.Post(func() {
+		links.Start()
+		dir.Take(cfg.Known)
+		front.Ready()
+	})
+	log.Info().Str("listen", ln.Addr().String()).Int("nodes", len(cfg.Known.Members)).Msg("mixer serves")
+
+	stop := make(chan struct{})
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		log.Info().Msg("mixer ends: told to")
+		core.Post(func() {
+			core.After(acceptOn, func() {
+				if err := ln.Close(); err != nil {
+					log.Warn().Err(err).Msg("listener would not close")
+				}
+				front.Stop()
+				core.After(lingerOn, func() { core.Stop(func() { core.After(lingerOn, func() { close(stop) }) }) })
+			})
+		})
+	}()
+	core.Run(stop)
+	log.Info().Msg("mixer has ended")
+	return nil
+}
--- /dev/null
+++ b/internal/broker/broker.go
@@ -0,0 +1,423 @@
+// Package broker is the core of the mixer. It deals in queries, attempts and
+// outcomes and knows no wire: fronts hand it queries, nodes carry its attempts,
+// a directory tells it of nodes, and the decision module says what is done. One
+// goroutine owns the module, its clock, all timers and all state; everything
+// else posts functions to it.
+package broker
+
+import (
+	"time"
+
+	"kiteloft/decide"
+	"kiteloft/internal/settings"
+)
+
+// Query is what a front hands to the core.
+type Query struct {
+	WireID   string // the id that nodes see; unique among what is open
+	Class    int
+	Tenant   int
+	Key      string // idempotency key; set in keyed classes
+	Left     time.Duration
+	Repeat   bool
+	Text     []byte // what each part has to carry
+	Parts    []QueryPart
+	Answerer Answerer
+}
+
+// QueryPart is one part of a query.
+type QueryPart struct {
+	Shard  int
+	Weight float64
+	Work   time.Duration // 0: unknown
+}
+
+// Value is a part's answer as its node gave it.
+type Value struct {
+	Shard int
+	Body  []byte
+}
+
+// Answerer takes the one final answer of a query. Exactly one of its methods is
+// called, once, unless the client has gone. They must not block.
+type Answerer interface {
+	Served(whole bool, values []Value)
+	Refused(after time.Duration) // trying again is harmless, after that long
+	Failed()
+}
+
+// Node is a stock node, as the directory names it.
+type Node struct {
+	ID   string
+	Addr string
+}
+
+// Nodes carries attempts to stock nodes. Its methods must not block, and must
+// not call back into the core before they return.
+type Nodes interface {
+	// Send carries one call. Each attempt ends through Core.Ended, once.
+	Send(n Node, call []*Attempt)
+	// GiveUp stops an attempt that the core has ended.
+	GiveUp(a *Attempt)
+	Probe(n Node, done func(decide.Outcome))
+	CloseIdle(n Node)
+	// Known tells which nodes are listed now.
+	Known(list []Node)
+}
+
+// Directory follows the list of nodes and tells it by Core.Listed and
+// Core.ListLost.
+type Directory interface {
+	Watch(on bool)
+	Read()
+}
+
+// Member is one entry of the list of nodes.
+type Member struct {
+	decide.Server
+	Addr string
+}
+
+// Stepper is the decision module.
+type Stepper interface {
+	Step(now time.Duration, events []decide.Event) []decide.Action
+}
+
+// Log takes the core's log lines.
+type Log interface {
+	Module(line string)           // a line of the module's
+	Guard(rule, id, about string) // a guard of the core's stepped in
+}
+
+// lastGuard is how long before a query's time is up the core ends it itself. The
+// module does so two ticks before.
+const lastGuard = 3 * time.Millisecond
+
+// Core is the broker's core. Its methods are called on its own goroutine, by
+// posted functions, except Post, Run and New.
+type Core struct {
+	set    settings.Settings
+	mod    Stepper
+	clock  func() time.Duration
+	nodes  Nodes
+	dir    Directory
+	log    Log
+	mail   mailbox
+	timers timers
+	now    time.Duration
+
+	events   []decide.Event
+	stepped  time.Duration
+	queries  map[string]*query // by the module's id
+	wireIDs  map[string]*query
+	parts    map[string]*part // of open queries, and those with an attempt out
+	members  map[string]Member
+	number   int64
+	held     int // open queries and their parts
+	stopping bool
+	idle     func() // called once nothing is open, after Stop
+}
+
+type query struct {
+	Query
+	id      string
+	number  int64
+	class   *decide.Class
+	end     time.Duration
+	parts   []*part // of the present step
+	second  bool
+	from    []int // shards that were in after the first step
+	whole   bool  // the first step's answer was whole
+	over    bool
+	counted int // what it adds to held
+}
+
+type part struct {
+	q        *query
+	id       string
+	shard    int
+	weight   float64
+	second   bool
+	attempts []*Attempt
+	out      int
+	in       bool
+	score    int64
+	value    []byte
+}
+
+// Attempt is one send of a part to a node.
+type Attempt struct {
+	WireID string // the query's
+	Shard  int
+	Key    string
+	Class  string
+	Second bool
+	From   []int // second step: the shards that were in
+	Whole  bool  // second step: whether the first was whole
+	Text   []byte
+	Node   Node
+	Link   any // the node side's own
+
+	p    *part
+	n    int
+	sent time.Duration
+	stop time.Duration // when it is given up
+	over bool
+
+	neverRan bool // its outcome proves it
+}
+
+// Left is how long the attempt will still be waited for.
+func (a *Attempt) Left(now time.Duration) time.Duration { return a.stop - now }
+
+// Over reports whether the attempt has ended.
+func (a *Attempt) Over() bool { return a.over }
+
+// New returns a Core. Use sets its surroundings before Run.
+func New(set settings.Settings, mod Stepper, clock func() time.Duration, log Log) *Core {
+	return &Core{set: set, mod: mod, clock: clock, log: log, mail: newMailbox(),
+		queries: map[string]*query{}, wireIDs: map[string]*query{}, parts: map[string]*part{}, members: map[string]Member{}}
+}
+
+// Use gives the core its nodes and its directory.
+func (c *Core) Use(n Nodes, d Directory) { c.nodes, c.dir = n, d }
+
+// Post runs fn on the core's goroutine, in order. It never blocks.
+func (c *Core) Post(fn func()) { c.mail.put(fn) }
+
+// Now is the module's clock, as of the present turn.
+func (c *Core) Now() time.Duration { return c.now }
+
+// After runs fn on the core's goroutine once the time has passed.
+func (c *Core) After(d time.Duration, fn func()) { c.timers.add(c.now+d, fn) }
+
+// Held is the number of open queries and parts.
+func (c *Core) Held() int { return c.held }
+
+// Run serves until stop is closed.
+func (c *Core) Run(stop <-chan struct{}) {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		if d, ok := c.pause(); ok {
+			timer.Reset(d)
+		}
+		select {
+		case <-stop:
+			return
+		case <-c.mail.ready:
+		case <-timer.C:
+		}
+		c.turn()
+	}
+}
+
+// pause is how long the loop may sleep. Steps are a tick apart, as the module
+// expects; what comes while it rests shares the next one.
+func (c *Core) pause() (time.Duration, bool) {
+	due, ok := c.timers.next()
+	if len(c.events) > 0 {
+		if t := c.stepped + c.set.Module.Tick; !ok || t < due {
+			due, ok = t, true
+		}
+	}
+	return max(0, due-c.clock()), ok
+}
+
+// turn runs what was posted and what is due, then gives the module a step.
+func (c *Core) turn() {
+	c.now = c.clock()
+	for _, fn := range c.mail.take() {
+		fn()
+	}
+	c.timers.run(c.now)
+	if len(c.events) > 0 && c.now >= c.stepped+c.set.Module.Tick {
+		c.step()
+	}
+	if c.stopping && len(c.queries) == 0 && c.idle != nil {
+		idle := c.idle
+		c.idle = nil
+		idle()
+	}
+}
+
+// Stop calls idle, once, when no query is open any more.
+func (c *Core) Stop(idle func()) { c.stopping, c.idle = true, idle }
+
+// ---- queries ----
+
+// Verdict is what Take says of a query.
+type Verdict int
+
+// The verdicts.
+const (
+	Taken     Verdict = iota
+	Crowded           // as much is open as the settings allow
+	Duplicate         // a query of that id is open
+	Misplaced         // a class, shard or weight that can't be
+)
+
+// Take hands a query to the module. Unless it is taken, the caller answers.
+func (c *Core) Take(in Query) (Verdict, *Handle) {
+	if in.Class < 0 || in.Class >= len(c.set.Module.Classes) || !c.sound(in.Parts) || in.Left <= 0 {
+		return Misplaced, nil
+	}
+	if c.wireIDs[in.WireID] != nil {
+		return Duplicate, nil
+	}
+	// Guards memory, and the module against more than its settings promise.
+	if most := c.set.Module.MaxOpen; most > 0 && c.held+1+len(in.Parts) > most {
+		return Crowded, nil
+	}
+	c.number++
+	q := &query{Query: in, id: "q" + number(c.number), number: c.number, class: &c.set.Module.Classes[in.Class],
+		end: c.now + in.Left}
+	c.queries[q.id], c.wireIDs[in.WireID] = q, q
+	work := time.Duration(0)
+	for _, p := range in.Parts {
+		work += p.Work
+	}
+	c.events = append(c.events, decide.QueryArrived{ID: q.id, Number: q.number, Class: in.Class, Tenant: in.Tenant,
+		Key: in.Key, Left: in.Left, Work: work, Repeat: in.Repeat})
+	c.open(q, in.Parts)
+	c.hold(q, 1)
+	c.timers.add(q.end-lastGuard, func() { c.lastMoment(q) })
+	return Taken, &Handle{c, q}
+}
+
+func (c *Core) sound(parts []QueryPart) bool {
+	seen := map[int]bool{}
+	for _, p := range parts {
+		if p.Shard < 0 || c.set.Shards > 0 && p.Shard >= c.set.Shards || seen[p.Shard] || !(p.Weight >= 0 && p.Weight <= 1.001) {
+			return false
+		}
+		seen[p.Shard] = true
+	}
+	return len(parts) > 0
+}
+
+// open adds the parts of a step.
+func (c *Core) open(q *query, list []QueryPart) {
+	q.parts = nil
+	for _, in := range list {
+		p := &part{q: q, shard: in.Shard, weight: in.Weight, second: q.second}
+		p.id = q.id + "." + number(int64(in.Shard))
+		if q.second {
+			p.id += "b"
+		}
+		q.parts = append(q.parts, p)
+		c.parts[p.id] = p
+		c.events = append(c.events, decide.PartArrived{ID: p.id, Number: q.number, Shard: p.shard, Weight: p.weight,
+			Work: in.Work})
+	}
+	c.hold(q, len(list))
+}
+
+func (c *Core) hold(q *query, n int) { c.held, q.counted = c.held+n, q.counted+n }
+
+// Handle is a front's hold on a query that was taken.
+type Handle struct {
+	c *Core
+	q *query
+}
+
+// ClientGone says that nobody waits for the answer any more.
+func (h *Handle) ClientGone() {
+	if h.q.over {
+		return
+	}
+	h.c.close(h.q)
+	h.c.events = append(h.c.events, decide.ClientGone{Query: h.q.id})
+}
+
+// lastMoment guards against a query left without an answer, whatever the module
+// does: one final answer, before the client's time is up.
+func (c *Core) lastMoment(q *query) {
+	if q.over {
+		return
+	}
+	c.log.Guard("one-answer", q.WireID, "the module had not ended it")
+	c.close(q)
+	q.Answerer.Failed()
+	c.events = append(c.events, decide.ClientGone{Query: q.id})
+}
+
+// close forgets a query; what is still out for it is given up.
+func (c *Core) close(q *query) {
+	q.over = true
+	c.held -= q.counted
+	delete(c.queries, q.id)
+	delete(c.wireIDs, q.WireID)
+	c.shed(q)
+}
+
+// shed ends the parts of a step.
+func (c *Core) shed(q *query) {
+	for _, p := range q.parts {
+		for _, a := range p.attempts {
+			if !a.over {
+				c.finish(a, decide.Cancelled)
+				c.nodes.GiveUp(a)
+			}
+		}
+		if p.out == 0 {
+			delete(c.parts, p.id)
+		}
+	}
+}
+
+// ---- attempts ----
+
+// Ended tells how an attempt ended; the value counts only if it was served.
+// What comes for an attempt that has ended is dropped.
+func (c *Core) Ended(a *Attempt, o decide.Outcome, score int64, value []byte) {
+	if a.over {
+		return // a late frame
+	}
+	if o == decide.OK && !a.p.q.over && a.p.second == a.p.q.second && !a.p.in {
+		a.p.in, a.p.score, a.p.value = true, score, value
+	}
+	c.finish(a, o)
+}
+
+// finish reports the one outcome of an attempt to the module.
+func (c *Core) finish(a *Attempt, o decide.Outcome) {
+	a.over, a.neverRan = true, o.NeverRan()
+	a.p.out--
+	c.report(a, o)
+	if a.p.out == 0 && (a.p.q.over || a.p.second != a.p.q.second) {
+		delete(c.parts, a.p.id)
+	}
+}
+
+func (c *Core) report(a *Attempt, o decide.Outcome) {
+	c.events = append(c.events, decide.AttemptDone{Part: a.p.id, Attempt: a.n, Server: a.Node.ID, Outcome: o,
+		Latency: c.now - a.sent})
+}
+
+// ---- the list of nodes ----
+
+// Listed brings news of the list of nodes.
+func (c *Core) Listed(full bool, version int64, list []Member) {
+	if full {
+		clear(c.members)
+	}
+	ev := decide.ListChange{Full: full, Version: version}
+	for _, m := range list {
+		ev.Servers = append(ev.Servers, m.Server)
+		if m.State == decide.Deleted {
+			delete(c.members, m.ID)
+			continue
+		}
+		c.members[m.ID] = m
+	}
+	known := make([]Node, 0, len(c.members))
+	for id, m := range c.members {
+		known = append(known, Node{ID: id, Addr: m.Addr})
+	}
+	c.nodes.Known(known)
+	c.events = append(c.events, ev)
+}
+
+// ListLost says that following the list has failed.
+func (c *Core) ListLost() { c.events = append(c.events, decide.ListLost{}) }
--- /dev/null
+++ b/internal/broker/step.go
@@ -0,0 +1,249 @@
+package broker
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"time"
+
+	"kiteloft/decide"
+)
+
+const (
+	weightSlack = 1e-4 // by how much sums of weights may fall short
+	maxWake     = 71 * time.Minute
+)
+
+func number(n int64) string { return strconv.FormatInt(n, 10) }
+
+// step gives the module all that has happened since the last one and carries
+// out what it says, in order. Sends to one node share calls.
+func (c *Core) step() {
+	events := c.events
+	c.events, c.stepped = nil, c.now
+	var calls callList
+	for _, action := range c.mod.Step(c.now, events) {
+		switch a := action.(type) {
+		case decide.Send:
+			if at := c.attempt(a); at != nil {
+				calls.add(at, c.set.Module.PartsPerCall)
+			}
+		case decide.Cancel:
+			c.cancel(a)
+		case decide.Answer:
+			if q := c.queries[a.Query]; q != nil {
+				c.answer(q, a.Whole)
+			}
+		case decide.Refuse:
+			if q := c.queries[a.Query]; q != nil {
+				c.refuse(q, a.RetryAfter)
+			}
+		case decide.Fail:
+			if q := c.queries[a.Query]; q != nil {
+				c.close(q)
+				q.Answerer.Failed()
+			}
+		case decide.Wake:
+			c.timers.add(c.now+min(a.After, maxWake), func() {
+				c.events = append(c.events, decide.Woken{Token: a.Token})
+			})
+		case decide.Watch:
+			c.dir.Watch(a.On)
+		case decide.ReadList:
+			c.dir.Read()
+		case decide.Probe:
+			c.probe(a.Server)
+		case decide.CloseIdle:
+			if m, ok := c.members[a.Server]; ok {
+				c.nodes.CloseIdle(Node{ID: m.ID, Addr: m.Addr})
+			}
+		case decide.Log:
+			c.log.Module(a.Line)
+		case decide.Tell: // mixers have no way to talk to each other here
+		}
+	}
+	for _, call := range calls {
+		c.nodes.Send(call[0].Node, call)
+	}
+}
+
+// callList gathers a step's sends by node, in the order of each node's first.
+type callList [][]*Attempt
+
+func (l *callList) add(a *Attempt, most int) {
+	for i, call := range *l {
+		if call[0].Node.ID == a.Node.ID && (most <= 0 || len(call) < most) {
+			(*l)[i] = append(call, a)
+			return
+		}
+	}
+	*l = append(*l, []*Attempt{a})
+}
+
+// attempt starts an attempt, or reports it as never sent where it can't be one:
+// its query is over, its node unknown or without the shard, its time up.
+func (c *Core) attempt(s decide.Send) *Attempt {
+	p := c.parts[s.Part]
+	if p == nil {
+		c.events = append(c.events, decide.AttemptDone{Part: s.Part, Server: s.Server, Outcome: decide.Moot})
+		return nil
+	}
+	q := p.q
+	a := &Attempt{WireID: q.WireID, Shard: p.shard, Key: q.Key, Class: q.class.Name, Second: p.second, Text: q.Text,
+		Node: Node{ID: s.Server}, p: p, n: len(p.attempts), sent: c.now}
+	p.attempts = append(p.attempts, a)
+	m, known := c.members[s.Server]
+	stop := q.end
+	if s.StopAt > 0 {
+		stop = min(stop, s.StopAt)
+	}
+	switch {
+	case q.over, p.second != q.second, !known, stop <= c.now,
+		c.set.Module.MaxAttempts > 0 && a.n >= c.set.Module.MaxAttempts:
+		a.over, a.neverRan = true, true
+		c.report(a, decide.Moot)
+		return nil
+	case !c.holds(m, p.shard):
+		// Guards the run: a part at a node without its shard voids it.
+		c.log.Guard("holders", q.WireID, "node "+m.ID+" lacks shard "+number(int64(p.shard)))
+		a.over, a.neverRan = true, true
+		c.report(a, decide.Moot)
+		return nil
+	}
+	if p.second {
+		a.From, a.Whole = q.from, q.whole
+	}
+	a.Node.Addr, a.stop = m.Addr, stop
+	p.out++
+	c.timers.add(stop, func() {
+		if !a.over {
+			c.finish(a, decide.TimedOut)
+			c.nodes.GiveUp(a)
+		}
+	})
+	return a
+}
+
+func (c *Core) holds(m Member, shard int) bool {
+	n := c.set.Module.Cells
+	return n <= 0 || ((m.Cell-shard)%n+n)%n < c.set.Module.Span
+}
+
+func (c *Core) cancel(a decide.Cancel) {
+	p := c.parts[a.Part]
+	if p == nil || a.Attempt < 0 || a.Attempt >= len(p.attempts) || p.attempts[a.Attempt].over {
+		return
+	}
+	at := p.attempts[a.Attempt]
+	c.finish(at, decide.Cancelled)
+	c.nodes.GiveUp(at)
+}
+
+// answer ends a query, or its first step, from the parts that are in.
+func (c *Core) answer(q *query, whole bool) {
+	weight, all := 0.0, true
+	for _, p := range q.parts {
+		if p.in {
+			weight += p.weight
+		} else {
+			all = false
+		}
+	}
+	need, floor := q.class.Need, q.class.Floor
+	if need <= 0 {
+		need = 1
+	}
+	if floor <= 0 || floor > need {
+		floor = need
+	}
+	if q.second {
+		if floor >= need {
+			floor = 1
+		}
+		need = 1
+	}
+	// Guards the rule on honest answers against the module's own book-keeping.
+	if weight < floor-weightSlack {
+		c.log.Guard("honest", q.WireID, "answer from too few parts")
+		c.close(q)
+		q.Answerer.Failed()
+		c.events = append(c.events, decide.ClientGone{Query: q.id})
+		return
+	}
+	if whole && (!all && weight < need-weightSlack || q.second && (!all || !q.whole)) {
+		c.log.Guard("honest", q.WireID, "answer marked whole that is not")
+		whole = false
+	}
+	if q.class.FollowParts > 0 && !q.second {
+		c.follow(q, whole)
+		return
+	}
+	values := make([]Value, 0, len(q.parts))
+	for _, p := range q.parts {
+		if p.in {
+			values = append(values, Value{Shard: p.shard, Body: p.value})
+		}
+	}
+	c.close(q)
+	q.Answerer.Served(whole, values)
+}
+
+// follow opens the second step at the shards with the highest scores among
+// those that are in.
+func (c *Core) follow(q *query, whole bool) {
+	var in []*part
+	for _, p := range q.parts {
+		if p.in {
+			in = append(in, p)
+			q.from = append(q.from, p.shard)
+		}
+	}
+	slices.Sort(q.from)
+	slices.SortStableFunc(in, func(a, b *part) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.shard, b.shard))
+	})
+	in = in[:min(len(in), q.class.FollowParts)]
+	first := len(q.parts)
+	c.shed(q)
+	q.second, q.whole = true, whole
+	for _, p := range q.parts {
+		if p.out == 0 {
+			delete(c.parts, p.id)
+		}
+	}
+	var next []QueryPart
+	for _, p := range in {
+		next = append(next, QueryPart{Shard: p.shard, Weight: 1 / float64(len(in))})
+	}
+	c.hold(q, -first)
+	c.open(q, next)
+}
+
+// refuse ends a query with the word that asking again is harmless.
+func (c *Core) refuse(q *query, after time.Duration) {
+	if q.class.Semantics != decide.Repeatable && slices.ContainsFunc(q.parts, (*part).mayHaveRun) {
+		// Guards the rule on refusals: what may have run may not run twice.
+		c.log.Guard("refusal", q.WireID, "a part may have run")
+		c.close(q)
+		q.Answerer.Failed()
+		return
+	}
+	c.close(q)
+	q.Answerer.Refused(after)
+}
+
+func (p *part) mayHaveRun() bool {
+	return slices.ContainsFunc(p.attempts, func(a *Attempt) bool { return !a.over || !a.neverRan })
+}
+
+func (c *Core) probe(id string) {
+	m, ok := c.members[id]
+	at := c.now
+	if !ok {
+		c.events = append(c.events, decide.ProbeDone{Server: id, Outcome: decide.ConnectFailed})
+		return
+	}
+	c.nodes.Probe(Node{ID: m.ID, Addr: m.Addr}, func(o decide.Outcome) {
+		c.events = append(c.events, decide.ProbeDone{Server: id, Outcome: o, Latency: c.now - at})
+	})
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,185 @@
+// Package config is the one place where the mixer's configuration is read,
+// checked and given defaults. Its errors name the faulty key.
+package config
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"strconv"
+
+	"github.com/BurntSushi/toml"
+	jsoniter "github.com/json-iterator/go"
+
+	"kiteloft/internal/discovery"
+	"kiteloft/internal/settings"
+)
+
+var json = jsoniter.ConfigCompatibleWithStandardLibrary
+
+// Config is all that the mixer is told.
+type Config struct {
+	Name      string
+	Listen    string
+	Discovery string
+	Seed      uint64
+	Cores     float64
+	MemoryMB  int64
+	Sockets   int
+	Known     discovery.List
+	Settings  settings.Settings
+
+	FlightListen   string // "": no Arrow Flight front
+	IPFIXCollector string // "": no export of flows
+}
+
+const (
+	defaultMemoryMB = 192
+	defaultSockets  = 1024
+	leastMemoryMB   = 32
+	leastSockets    = 64
+	maxFile         = 64 << 20
+)
+
+// file is LB_CONFIG's.
+type file struct {
+	Name      string `json:"name"`
+	Listen    string `json:"listen"`
+	Discovery string `json:"discovery"`
+	Seed      string `json:"seed"`
+	Limits    struct {
+		Cores    float64 `json:"cores"`
+		MemoryMB float64 `json:"memory_mb"`
+		Sockets  float64 `json:"sockets"`
+	} `json:"limits"`
+	Known    jsoniter.RawMessage `json:"known"`
+	Settings jsoniter.RawMessage `json:"settings"`
+}
+
+// broker is deploy/broker.toml's.
+type broker struct {
+	Flight struct {
+		Listen string `toml:"listen"`
+	} `toml:"flight"`
+	IPFIX struct {
+		Collector string `toml:"collector"`
+	} `toml:"ipfix"`
+}
+
+// Load reads the environment, the file that LB_CONFIG names, and the project's
+// own file at tomlPath, which may be missing.
+func Load(getenv func(string) string, tomlPath string) (Config, error) {
+	path := getenv("LB_CONFIG")
+	if path == "" {
+		return Config{}, errors.New("LB_CONFIG is not set")
+	}
+	info, err := os.Stat(path)
+	if err == nil && info.Size() > maxFile {
+		err = errors.New("larger than any configuration")
+	}
+	if err != nil {
+		return Config{}, fmt.Errorf("LB_CONFIG: %w", err)
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Config{}, fmt.Errorf("LB_CONFIG: %w", err)
+	}
+	c, err := parse(text, getenv)
+	if err != nil {
+		return Config{}, err
+	}
+	return c, c.readTOML(tomlPath)
+}
+
+func parse(text []byte, getenv func(string) string) (c Config, err error) {
+	var f file
+	if err := json.Unmarshal(text, &f); err != nil {
+		return c, fmt.Errorf("LB_CONFIG: %w", err)
+	}
+	c = Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Cores: f.Limits.Cores,
+		MemoryMB: int64(f.Limits.MemoryMB), Sockets: int(f.Limits.Sockets)}
+	// The environment says the same as the file; where they differ, it wins.
+	for key, v := range map[string]*string{"LB_NAME": &c.Name, "LB_LISTEN": &c.Listen, "LB_DISCOVERY": &c.Discovery} {
+		if s := getenv(key); s != "" {
+			*v = s
+		}
+	}
+	if c.Name == "" {
+		return c, errors.New("LB_NAME (name): missing")
+	}
+	if err := address("LB_LISTEN (listen)", c.Listen); err != nil {
+		return c, err
+	}
+	if err := address("LB_DISCOVERY (discovery)", c.Discovery); err != nil {
+		return c, err
+	}
+	if f.Seed != "" {
+		if c.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
+			return c, fmt.Errorf("seed: %w", err)
+		}
+	}
+	if c.MemoryMB == 0 {
+		c.MemoryMB = defaultMemoryMB
+	}
+	if c.Sockets == 0 {
+		c.Sockets = defaultSockets
+	}
+	if c.MemoryMB < leastMemoryMB {
+		return c, fmt.Errorf("limits.memory_mb: %d is under %d", c.MemoryMB, leastMemoryMB)
+	}
+	if c.Sockets < leastSockets {
+		return c, fmt.Errorf("limits.sockets: %d is under %d", c.Sockets, leastSockets)
+	}
+	if len(f.Settings) == 0 {
+		return c, errors.New("settings: missing")
+	}
+	if c.Settings, err = settings.Parse(f.Settings); err != nil {
+		return c, fmt.Errorf("settings: %w", err)
+	}
+	if len(c.Settings.Module.Classes) == 0 {
+		return c, errors.New("settings.classes: missing")
+	}
+	if len(f.Known) > 0 && string(f.Known) != "null" {
+		if c.Known, err = discovery.Parse(f.Known); err != nil {
+			return c, fmt.Errorf("known: %w", err)
+		}
+	}
+	c.Known.Complete = true // all that this mixer knows
+	return c, nil
+}
+
+func (c *Config) readTOML(path string) error {
+	var b broker
+	meta, err := toml.DecodeFile(path, &b)
+	if errors.Is(err, os.ErrNotExist) {
+		return nil
+	}
+	if err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	if extra := meta.Undecoded(); len(extra) > 0 {
+		return fmt.Errorf("%s: %s: unknown key", path, extra[0])
+	}
+	c.FlightListen, c.IPFIXCollector = b.Flight.Listen, b.IPFIX.Collector
+	if c.FlightListen != "" {
+		if err := address(path+": flight.listen", c.FlightListen); err != nil {
+			return err
+		}
+	}
+	if c.IPFIXCollector != "" {
+		return address(path+": ipfix.collector", c.IPFIXCollector)
+	}
+	return nil
+}
+
+// address checks for an IP address and a port: there is no DNS.
+func address(key, s string) error {
+	if s == "" {
+		return fmt.Errorf("%s: missing", key)
+	}
+	if _, err := netip.ParseAddrPort(s); err != nil {
+		return fmt.Errorf("%s: %w", key, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/discovery/discovery.go
@@ -0,0 +1,288 @@
+// Package discovery follows the list of stock nodes that discovery keeps. All of
+// it runs on the core's goroutine.
+package discovery
+
+import (
+	"fmt"
+	"strconv"
+	"time"
+
+	jsoniter "github.com/json-iterator/go"
+	"github.com/rs/zerolog"
+
+	"kiteloft/decide"
+	"kiteloft/internal/broker"
+	"kiteloft/internal/http1"
+	"kiteloft/internal/transport"
+)
+
+var json = jsoniter.ConfigCompatibleWithStandardLibrary
+
+const (
+	hold           = 10 * time.Second // how long a watch may wait for news
+	patience       = 2 * time.Second  // how much longer than that an answer may take
+	connectTimeout = time.Second
+	maxList        = 8 << 20 // bytes of a list that we take
+	path           = "/registry/instances"
+)
+
+// List is a list of nodes, in the form of discovery.
+type List struct {
+	Revision int64   `json:"revision"`
+	Complete bool    `json:"complete"`
+	Members  []entry `json:"members"`
+}
+
+type entry struct {
+	ID        string  `json:"id"`
+	HostPort  string  `json:"host_port"`
+	Locality  string  `json:"locality"`
+	Cell      int     `json:"cell"`
+	Phase     string  `json:"phase"`
+	Size      float64 `json:"size"`
+	UpSinceMS int64   `json:"up_since_ms"`
+}
+
+// Parse reads a list.
+func Parse(b []byte) (List, error) {
+	var l List
+	if err := json.Unmarshal(b, &l); err != nil {
+		return l, fmt.Errorf("reading a list of nodes: %w", err)
+	}
+	for _, e := range l.Members {
+		if e.ID == "" {
+			return l, fmt.Errorf("reading a list of nodes: a member without an id")
+		}
+		if _, ok := states[e.Phase]; !ok {
+			return l, fmt.Errorf("reading a list of nodes: member %s: unknown phase %q", e.ID, e.Phase)
+		}
+	}
+	return l, nil
+}
+
+var states = map[string]decide.ServerState{"active": decide.Running, "leaving": decide.Stopping, "left": decide.Deleted}
+
+// Core is what this package needs of the core.
+type Core interface {
+	Now() time.Duration
+	After(d time.Duration, fn func())
+	Listed(full bool, version int64, list []broker.Member)
+	ListLost()
+}
+
+// Dialer opens connections without blocking.
+type Dialer interface {
+	Dial(addr string, timeout time.Duration, h transport.Handler, done func(*transport.Conn, transport.End))
+}
+
+// Client asks discovery. It implements broker.Directory.
+type Client struct {
+	core     Core
+	net      Dialer
+	addr     string
+	zones    map[string]int
+	unixZero time.Time // the Unix time at which the module's clock stood at 0
+	log      zerolog.Logger
+	revision int64
+	watch    *call // nil: no watch is under way
+	lost     bool
+}
+
+// call is a connection with at most one request out.
+type call struct {
+	c       *Client
+	conn    *transport.Conn
+	parser  *http1.Parser
+	request string
+	watch   bool
+	over    bool
+	seq     int  // of the request that is out
+	goesOn  bool // the watch has had its first answer, which comes at once
+}
+
+// New returns a Client. ZeroAt is the Unix time at which the module's clock
+// stands at 0.
+func New(core Core, net Dialer, addr string, zones []string, zeroAt time.Time, log zerolog.Logger) *Client {
+	c := &Client{core: core, net: net, addr: addr, zones: map[string]int{}, unixZero: zeroAt, log: log}
+	for i, z := range zones {
+		c.zones[z] = i
+	}
+	return c
+}
+
+// Take hands a list to the core.
+func (c *Client) Take(l List) {
+	members := make([]broker.Member, 0, len(l.Members))
+	for _, e := range l.Members {
+		m := broker.Member{Addr: e.HostPort, Server: decide.Server{ID: e.ID, Zone: c.zone(e.Locality), Cell: e.Cell,
+			State: states[e.Phase], Hint: e.Size}}
+		if e.UpSinceMS > 0 {
+			m.Started = time.UnixMilli(e.UpSinceMS).Sub(c.unixZero)
+		}
+		members = append(members, m)
+	}
+	c.revision = l.Revision
+	c.core.Listed(l.Complete, l.Revision, members)
+}
+
+func (c *Client) zone(name string) int {
+	i, ok := c.zones[name]
+	if !ok {
+		i = len(c.zones) // a zone that the settings don't know
+		c.zones[name] = i
+	}
+	return i
+}
+
+// Watch implements broker.Directory.
+func (c *Client) Watch(on bool) {
+	if old := c.watch; old != nil {
+		c.watch = nil
+		old.end()
+	}
+	if on {
+		c.watch = &call{c: c, watch: true}
+		c.watch.ask()
+	}
+}
+
+// Read implements broker.Directory.
+func (c *Client) Read() { (&call{c: c}).ask() }
+
+// ask sends the request, on a new connection if none is open.
+func (k *call) ask() {
+	target, wait := path, time.Duration(0)
+	if k.watch {
+		if k.goesOn {
+			wait = hold
+		}
+		target += "?from=" + strconv.FormatInt(k.c.revision, 10) + "&hold_ms=" + strconv.FormatInt(wait.Milliseconds(), 10)
+	}
+	k.request = "GET " + target + " HTTP/1.1\r\nHost: " + k.c.addr + "\r\n\r\n"
+	k.seq++
+	seq := k.seq
+	// Guards against a discovery that is cut off: it says nothing, ever.
+	k.c.core.After(wait+patience, func() {
+		if k.seq == seq {
+			k.fail("no answer in time")
+		}
+	})
+	if k.conn != nil {
+		k.conn.Write([]byte(k.request))
+		return
+	}
+	k.parser = http1.NewResponseParser(maxList)
+	k.c.net.Dial(k.c.addr, connectTimeout, k, k.dialed)
+}
+
+func (k *call) dialed(conn *transport.Conn, e transport.End) {
+	if conn == nil {
+		k.fail(e.String())
+		return
+	}
+	if k.over {
+		conn.Close(transport.LocalDone)
+		return
+	}
+	k.conn = conn
+	conn.Write([]byte(k.request))
+}
+
+// end drops the call without a word.
+func (k *call) end() {
+	k.over = true
+	k.seq++
+	if k.conn != nil {
+		k.conn.Close(transport.LocalDone)
+	}
+}
+
+func (k *call) fail(why string) {
+	if k.over {
+		return
+	}
+	k.end()
+	if k.c.watch == k {
+		k.c.watch = nil
+	}
+	if !k.c.lost {
+		k.c.lost = true
+		k.c.log.Warn().Str("why", why).Msg("discovery does not answer")
+	}
+	k.c.core.ListLost()
+}
+
+// Data implements transport.Handler.
+func (k *call) Data(b []byte) {
+	k.parser.Write(b)
+	k.next()
+}
+
+func (k *call) next() {
+	m, err := k.parser.Next()
+	switch {
+	case err != nil:
+		k.fail(err.Error())
+	case m != nil && m.Status >= 100 && m.Status < 200:
+		k.next()
+	case m != nil:
+		k.answered(m)
+	}
+}
+
+func (k *call) answered(m *http1.Message) {
+	if m.Status != 200 {
+		k.fail("status " + strconv.Itoa(m.Status))
+		return
+	}
+	l, err := Parse(m.Body)
+	if err != nil {
+		k.fail(err.Error())
+		return
+	}
+	if k.c.lost {
+		k.c.lost = false
+		k.c.log.Info().Msg("discovery answers again")
+	}
+	k.seq++
+	if !k.watch {
+		k.end()
+		k.c.Take(l)
+		return
+	}
+	if m.Close {
+		conn := k.conn
+		k.conn = nil
+		k.over = true
+		conn.Close(transport.LocalDone)
+		k.c.watch = &call{c: k.c, watch: true}
+		k = k.c.watch
+	}
+	k.c.take(l, k)
+}
+
+// take hands on a watch's news and goes on watching at once: a watch goes on
+// only if the next call comes within 200 ms.
+func (c *Client) take(l List, k *call) {
+	if l.Complete || len(l.Members) > 0 || !k.goesOn {
+		c.Take(l) // the first answer tells the module that it is subscribed, even without news
+	}
+	c.revision = max(c.revision, l.Revision)
+	k.goesOn = true
+	k.ask()
+}
+
+// HalfClosed implements transport.Handler; connections we dialed end at once.
+func (k *call) HalfClosed() {}
+
+// Ended implements transport.Handler.
+func (k *call) Ended(e transport.End) {
+	if k.over {
+		return
+	}
+	k.parser.EOF()
+	k.next()
+	if !k.over {
+		k.fail(e.String())
+	}
+}
--- /dev/null
+++ b/internal/front/platform/platform.go
@@ -0,0 +1,379 @@
+// Package platform is the front for the platform's protocol: queries as HTTP/1.1
+// requests with JSON bodies. All of it runs on the core's goroutine.
+package platform
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	jsoniter "github.com/json-iterator/go"
+	"github.com/rs/zerolog"
+
+	"kiteloft/decide"
+	"kiteloft/internal/broker"
+	"kiteloft/internal/http1"
+	"kiteloft/internal/transport"
+)
+
+var json = jsoniter.ConfigCompatibleWithStandardLibrary
+
+const (
+	maxBuffered = http1.MaxHead + 2*http1.MaxBody // bytes of requests that wait for an answer before them
+	maxID       = 128
+	maxParts    = 4096
+	headTime    = 10 * time.Second       // a request that has begun must be whole within it
+	crowdedWait = 250 * time.Millisecond // Retry-After where too much is open
+	sweepPace   = 250 * time.Millisecond
+	drainQuiet  = 100 * time.Millisecond // how long a connection rests before it is closed at the end
+)
+
+// Core is what this package needs of the core.
+type Core interface {
+	Now() time.Duration
+	After(d time.Duration, fn func())
+	Take(q broker.Query) (broker.Verdict, *broker.Handle)
+}
+
+// Conn is a connection to a client.
+type Conn interface {
+	Write(b []byte) int64
+	Close(e transport.End)
+	Gone() bool
+	Idle() bool
+}
+
+// Front serves clients.
+type Front struct {
+	core    Core
+	classes map[string]int
+	set     []decide.Class
+	log     zerolog.Logger
+	clients map[*client]struct{}
+	closing bool
+	ready   bool
+}
+
+// New returns a Front for the classes. It answers that it is ready once Ready
+// is called.
+func New(core Core, classes []decide.Class, log zerolog.Logger) *Front {
+	f := &Front{core: core, classes: map[string]int{}, set: classes, log: log, clients: map[*client]struct{}{}}
+	for i, c := range classes {
+		f.classes[c.Name] = i
+	}
+	return f
+}
+
+// Ready lets health checks pass and starts to look after connections.
+func (f *Front) Ready() {
+	f.ready = true
+	f.core.After(sweepPace, f.sweep)
+}
+
+// client is one connection and its requests, answered one after another.
+type client struct {
+	f       *Front
+	conn    Conn
+	parser  *http1.Parser
+	open    *request // the one that is being answered
+	half    bool     // the client sends nothing more
+	closing bool
+	rest    time.Duration // since when nothing is open
+	begun   time.Duration // when the request that is coming in began; 0: none is
+}
+
+// request is a query's way back to its client. It implements broker.Answerer.
+type request struct {
+	c      *client
+	handle *broker.Handle
+	close  bool
+}
+
+// Accept takes a new connection.
+func (f *Front) Accept(conn Conn) transport.Handler {
+	return &client{f: f, conn: conn, parser: http1.NewRequestParser()}
+}
+
+// Data implements transport.Handler.
+func (c *client) Data(b []byte) {
+	c.f.clients[c] = struct{}{}
+	if c.closing {
+		return
+	}
+	c.parser.Write(b)
+	if c.begun == 0 {
+		c.begun = c.f.core.Now()
+	}
+	c.next()
+	// Guards memory against a client that pipelines without end.
+	if c.open != nil && c.parser.Buffered() > maxBuffered {
+		c.conn.Close(transport.PeerFlooded)
+	}
+}
+
+// next serves the requests that are whole, until one has to wait for its answer.
+func (c *client) next() {
+	for c.open == nil && !c.closing {
+		m, err := c.parser.Next()
+		if err != nil {
+			c.malformed(err)
+			return
+		}
+		if m == nil {
+			if !c.parser.Started() {
+				c.begun = 0
+			}
+			c.rest = c.f.core.Now()
+			if c.half {
+				c.end()
+			}
+			return
+		}
+		c.begun = c.f.core.Now()
+		c.serve(m)
+	}
+}
+
+func (c *client) malformed(err error) {
+	status, why := 400, err.Error()
+	if e, ok := err.(*http1.Error); ok {
+		status, why = e.Status, e.Reason
+	}
+	c.f.log.Info().Int("status", status).Str("why", why).Msg("request refused as malformed")
+	c.reply(status, "text/plain", []byte(why+"\n"), 0, true)
+}
+
+func (c *client) serve(m *http1.Message) {
+	path, _, _ := strings.Cut(m.Target, "?")
+	text := func(status int, body string) { c.reply(status, "text/plain", []byte(body+"\n"), 0, m.Close) }
+	switch {
+	case path == "/health/ready" || path == "/health/live":
+		switch {
+		case m.Method != "GET" && m.Method != "HEAD":
+			text(405, "health is asked for with GET")
+		case path == "/health/ready" && (!c.f.ready || c.f.closing):
+			text(503, "not ready")
+		case m.Method == "HEAD":
+			c.replyHead(200, "text/plain", 3, 0, m.Close)
+		default:
+			text(200, "ok")
+		}
+		return
+	case m.Method != "POST":
+		text(405, "a query is a POST")
+		return
+	}
+	q, status, why := c.f.parse(m, path)
+	if status != 0 {
+		c.f.log.Info().Int("status", status).Str("why", why).Msg("request refused as malformed")
+		text(status, why)
+		return
+	}
+	r := &request{c: c, close: m.Close}
+	q.Answerer = r
+	verdict, handle := c.f.core.Take(q)
+	switch verdict {
+	case broker.Taken:
+		r.handle = handle
+		c.open = r
+	case broker.Crowded:
+		c.reply(503, "text/plain", []byte("too much is open\n"), crowdedWait, m.Close)
+	case broker.Duplicate:
+		text(400, "a request of that id is open")
+	default:
+		text(400, "parts that can't be")
+	}
+}
+
+type body struct {
+	Slices []struct {
+		Slice  *int     `json:"slice"`
+		Mass   *float64 `json:"mass"`
+		Micros float64  `json:"micros"`
+	} `json:"slices"`
+	Filter string `json:"filter"`
+}
+
+// parse reads a query; a status other than 0 says why it is none.
+func (f *Front) parse(m *http1.Message, path string) (q broker.Query, status int, why string) {
+	name, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
+	class, ok := f.classes[name]
+	if !ok {
+		return q, 404, "no such class"
+	}
+	h := m.Header
+	id, key := h.Get("req-id"), h.Get("idempotency-key")
+	switch {
+	case !word(id) || len(id) > maxID:
+		return q, 400, "Req-Id is missing or no word"
+	case key != "" && (!word(key) || len(key) > maxID || strings.ContainsAny(key, ",=+")):
+		return q, 400, "Idempotency-Key is no word"
+	case key == "" && f.set[class].Semantics == decide.Keyed:
+		return q, 400, "Idempotency-Key is missing"
+	}
+	if f.set[class].Semantics != decide.Keyed {
+		key = ""
+	}
+	ms, err := strconv.ParseInt(h.Get("req-deadline-ms"), 10, 64)
+	if err != nil || ms <= 0 || ms > 24*3600*1000 {
+		return q, 400, "Req-Deadline-Ms is no time"
+	}
+	var b body
+	if err := json.Unmarshal(m.Body, &b); err != nil {
+		return q, 400, "the body is not a query"
+	}
+	if len(b.Slices) == 0 || len(b.Slices) > maxParts {
+		return q, 400, "slices: none, or too many"
+	}
+	q = broker.Query{WireID: id, Class: class, Key: key, Left: time.Duration(ms) * time.Millisecond,
+		Repeat: h.Get("req-retry") == "1", Text: []byte(b.Filter)}
+	for _, s := range b.Slices {
+		if s.Slice == nil || s.Mass == nil || s.Micros < 0 || s.Micros > 1e12 {
+			return q, 400, "slices: one without slice or mass, or with a guess that can't be"
+		}
+		q.Parts = append(q.Parts, broker.QueryPart{Shard: *s.Slice, Weight: *s.Mass,
+			Work: time.Duration(s.Micros * float64(time.Microsecond))})
+	}
+	return q, 0, ""
+}
+
+// word tells whether s can stand in a frame's line.
+func word(s string) bool {
+	for i := range len(s) {
+		if s[i] <= ' ' || s[i] >= 0x7f {
+			return false
+		}
+	}
+	return s != ""
+}
+
+// Served implements broker.Answerer.
+func (r *request) Served(whole bool, values []broker.Value) {
+	b := append([]byte(`{"entire":`), strconv.FormatBool(whole)...)
+	b = append(b, `,"items":[`...)
+	for i, v := range values {
+		if i > 0 {
+			b = append(b, ',')
+		}
+		b = append(b, `{"slice":`...)
+		b = strconv.AppendInt(b, int64(v.Shard), 10)
+		b = append(b, `,"body":`...)
+		s, err := json.Marshal(string(v.Body))
+		if err != nil {
+			s = []byte(`""`) // a string always has a form
+		}
+		b = append(append(b, s...), '}')
+	}
+	r.done(200, "application/json", append(b, "]}"...), 0)
+}
+
+// Refused implements broker.Answerer.
+func (r *request) Refused(after time.Duration) {
+	r.done(503, "text/plain", []byte("refused\n"), after)
+}
+
+// Failed implements broker.Answerer.
+func (r *request) Failed() { r.done(500, "text/plain", []byte("failed\n"), 0) }
+
+func (r *request) done(status int, kind string, body []byte, after time.Duration) {
+	c := r.c
+	if c.open != r {
+		return // the client has gone
+	}
+	c.open = nil
+	c.reply(status, kind, body, after, r.close)
+	// The next pipelined request is taken in a turn of its own: this one may be
+	// within a step.
+	c.f.core.After(0, c.next)
+}
+
+func (c *client) reply(status int, kind string, body []byte, after time.Duration, closes bool) {
+	closes = closes || c.f.closing || c.half && !c.parser.Started()
+	c.conn.Write(append(head(status, kind, len(body), after, closes), body...))
+	c.rest = c.f.core.Now()
+	if closes {
+		c.end()
+	}
+}
+
+func (c *client) replyHead(status int, kind string, length int, after time.Duration, closes bool) {
+	closes = closes || c.f.closing
+	c.conn.Write(head(status, kind, length, after, closes))
+	if closes {
+		c.end()
+	}
+}
+
+var reasons = map[int]string{200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
+	413: "Content Too Large", 431: "Request Header Fields Too Large", 500: "Internal Server Error",
+	501: "Not Implemented", 503: "Service Unavailable"}
+
+func head(status int, kind string, length int, after time.Duration, closes bool) []byte {
+	b := append([]byte("HTTP/1.1 "), strconv.Itoa(status)...)
+	b = append(append(b, ' '), reasons[status]...)
+	b = append(append(b, "\r\nContent-Type: "...), kind...)
+	b = append(b, "\r\nContent-Length: "...)
+	b = strconv.AppendInt(b, int64(length), 10)
+	if after > 0 {
+		b = append(b, "\r\nRetry-After: "...)
+		b = strconv.AppendFloat(b, after.Seconds(), 'f', -1, 64)
+	}
+	if closes {
+		b = append(b, "\r\nConnection: close"...)
+	}
+	return append(b, "\r\n\r\n"...)
+}
+
+// end closes the connection once all that was written is on its way.
+func (c *client) end() {
+	c.closing = true
+	if c.conn.Idle() {
+		c.conn.Close(transport.LocalDone)
+	}
+}
+
+// HalfClosed implements transport.Handler: the client sends no more, but its
+// open request is still owed an answer.
+func (c *client) HalfClosed() {
+	c.half = true
+	if c.open == nil {
+		c.end()
+	}
+}
+
+// Ended implements transport.Handler.
+func (c *client) Ended(transport.End) {
+	delete(c.f.clients, c)
+	c.closing = true
+	if r := c.open; r != nil {
+		c.open = nil
+		r.handle.ClientGone()
+	}
+}
+
+// sweep looks after connections that no event comes for.
+func (f *Front) sweep() {
+	now := f.core.Now()
+	for c := range f.clients {
+		switch {
+		case c.half && c.conn.Gone():
+			c.conn.Close(transport.PeerReset)
+		case c.closing:
+			c.end()
+		case c.open == nil && c.begun > 0 && now-c.begun > headTime:
+			// Guards descriptors against clients that begin a request and never end it.
+			c.conn.Close(transport.BadInput)
+		case f.closing && c.open == nil && !c.parser.Started() && now-c.rest > drainQuiet:
+			c.end()
+		}
+	}
+	f.core.After(sweepPace, f.sweep)
+}
+
+// Stop answers what is open and closes each connection once it rests.
+func (f *Front) Stop() {
+	f.closing = true
+}
+
+// Clients is the number of connections that have sent something.
+func (f *Front) Clients() int { return len(f.clients) }
--- /dev/null
+++ b/internal/http1/http1.go
@@ -0,0 +1,367 @@
+// Package http1 parses HTTP/1.1 messages as their bytes come in. It is pure: it
+// holds no connection and knows no clock.
+package http1
+
+import (
+	"bytes"
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// Limits of what is taken.
+const (
+	MaxHead  = 16 << 10 // bytes of start line and header fields
+	MaxBody  = 64 << 10 // bytes of a client's body
+	maxLine  = 256      // bytes of a chunk's size line
+	maxTrail = 4 << 10  // bytes of trailer fields
+)
+
+// Error is input that can't be taken. Status is the answer it deserves.
+type Error struct {
+	Status int
+	Reason string
+}
+
+func (e *Error) Error() string { return fmt.Sprintf("%d: %s", e.Status, e.Reason) }
+
+func bad(format string, args ...any) *Error { return &Error{400, fmt.Sprintf(format, args...)} }
+
+// Header holds fields by their lower-case names. A repeated field keeps its
+// values, joined by commas.
+type Header map[string]string
+
+// Get returns a field's value; the name is in lower case.
+func (h Header) Get(name string) string { return h[name] }
+
+// Message is a request or a response.
+type Message struct {
+	Method, Target string // request only
+	Status         int    // response only
+	Minor          int    // HTTP/1.Minor
+	Header         Header
+	Body           []byte
+	Close          bool // the connection ends after this message
+}
+
+// Parser takes one side's stream of messages.
+type Parser struct {
+	response bool
+	maxBody  int
+	buf      []byte
+	scanned  int // bytes of buf in which the head's end was already looked for
+	msg      *Message
+	state    state
+	need     int // bytes missing from the body or chunk
+	trailer  int
+	eof      bool
+	err      error
+}
+
+type state int
+
+const (
+	inHead state = iota
+	inBody
+	inChunkSize
+	inChunk
+	inChunkEnd
+	inTrailer
+	toEOF
+)
+
+// NewRequestParser returns a parser of requests, whose bodies hold at most
+// MaxBody bytes.
+func NewRequestParser() *Parser { return &Parser{maxBody: MaxBody} }
+
+// NewResponseParser returns a parser of responses with bodies of at most max
+// bytes.
+func NewResponseParser(max int) *Parser { return &Parser{response: true, maxBody: max} }
+
+// Write adds bytes from the wire.
+func (p *Parser) Write(b []byte) { p.buf = append(p.buf, b...) }
+
+// EOF says that no more bytes come; a response without a length ends so.
+func (p *Parser) EOF() { p.eof = true }
+
+// Buffered is the number of bytes that wait to be parsed.
+func (p *Parser) Buffered() int { return len(p.buf) }
+
+// Started reports whether a message has begun and not ended.
+func (p *Parser) Started() bool { return len(p.buf) > 0 || p.state != inHead }
+
+// Next returns the next whole message, or nil if more bytes are needed. After
+// an error, always an *Error, the stream can't be read any further.
+func (p *Parser) Next() (*Message, error) {
+	if p.err != nil {
+		return nil, p.err
+	}
+	for {
+		done, more, err := p.advance()
+		if err != nil {
+			p.err = err
+			return nil, err
+		}
+		if done {
+			m := p.msg
+			p.msg, p.state, p.scanned, p.trailer = nil, inHead, 0, 0
+			if len(p.buf) == 0 {
+				p.buf = nil // an idle connection holds no memory
+			}
+			return m, nil
+		}
+		if !more {
+			return nil, nil
+		}
+	}
+}
+
+// advance does one step. More tells whether another may follow at once.
+func (p *Parser) advance() (done, more bool, err error) {
+	switch p.state {
+	case inHead:
+		return p.head()
+	case inBody, inChunk:
+		n := min(p.need, len(p.buf))
+		p.msg.Body = append(p.msg.Body, p.buf[:n]...)
+		p.take(n)
+		if p.need -= n; p.need > 0 {
+			return false, false, nil
+		}
+		if p.state == inBody {
+			return true, false, nil
+		}
+		p.state = inChunkEnd
+		return false, true, nil
+	case inChunkEnd:
+		line, ok, err := p.line(2)
+		if err != nil || !ok {
+			return false, false, err
+		}
+		if len(line) > 0 {
+			return false, false, bad("a chunk is longer than its size")
+		}
+		p.state = inChunkSize
+		return false, true, nil
+	case inChunkSize:
+		return p.chunkSize()
+	case inTrailer:
+		line, ok, err := p.line(maxTrail)
+		if err != nil || !ok {
+			return false, false, err
+		}
+		// Guards against trailers without end.
+		if p.trailer += len(line); p.trailer > maxTrail {
+			return false, false, &Error{431, "trailer too long"}
+		}
+		return len(line) == 0, len(line) > 0, nil
+	default: // toEOF
+		p.msg.Body = append(p.msg.Body, p.buf...)
+		p.buf = nil
+		if len(p.msg.Body) > p.maxBody {
+			return false, false, &Error{413, "body too long"}
+		}
+		return p.eof, false, nil
+	}
+}
+
+func (p *Parser) take(n int) { p.buf = p.buf[n:] }
+
+// line returns the next line without its end. It is an error if none ends
+// within max bytes.
+func (p *Parser) line(max int) (string, bool, error) {
+	i := bytes.IndexByte(p.buf, '\n')
+	if i < 0 && len(p.buf) <= max {
+		return "", false, nil
+	}
+	if i < 0 || i > max {
+		return "", false, bad("line too long")
+	}
+	s := strings.TrimSuffix(string(p.buf[:i]), "\r")
+	p.take(i + 1)
+	return s, true, nil
+}
+
+func (p *Parser) chunkSize() (done, more bool, err error) {
+	line, ok, err := p.line(maxLine)
+	if err != nil || !ok {
+		return false, false, err
+	}
+	size, _, _ := strings.Cut(line, ";") // extensions mean nothing to us
+	size = strings.TrimRight(size, " \t")
+	if len(size) == 0 || len(size) > 8 || strings.Trim(size, "0123456789abcdefABCDEF") != "" {
+		return false, false, bad("chunk size %q", size)
+	}
+	n, err := strconv.ParseUint(size, 16, 32)
+	if err != nil {
+		return false, false, bad("chunk size %q", size)
+	}
+	if n == 0 {
+		p.state = inTrailer
+		return false, true, nil
+	}
+	if len(p.msg.Body)+int(n) > p.maxBody {
+		return false, false, &Error{413, "body too long"}
+	}
+	p.need, p.state = int(n), inChunk
+	return false, true, nil
+}
+
+// head parses start line and fields once all of them are there.
+func (p *Parser) head() (done, more bool, err error) {
+	for p.scanned == 0 && len(p.buf) > 0 && (p.buf[0] == '\r' || p.buf[0] == '\n') {
+		p.take(1) // empty lines before a message are passed over
+	}
+	end, after := headEnd(p.buf, max(0, p.scanned-3))
+	if end < 0 {
+		if p.scanned = len(p.buf); p.scanned > MaxHead {
+			return false, false, &Error{431, "header fields too long"}
+		}
+		return false, false, nil
+	}
+	if end > MaxHead {
+		return false, false, &Error{431, "header fields too long"}
+	}
+	text := string(p.buf[:end])
+	p.take(after)
+	p.scanned = 0
+	if err := p.parseHead(text); err != nil {
+		return false, false, err
+	}
+	return p.frame()
+}
+
+// headEnd finds the empty line: where the head ends, and where the body begins.
+func headEnd(b []byte, from int) (end, after int) {
+	for i := from; i < len(b); i++ {
+		if b[i] != '\n' {
+			continue
+		}
+		rest := b[i+1:]
+		if len(rest) > 0 && rest[0] == '\n' {
+			return i, i + 2
+		}
+		if len(rest) > 1 && rest[0] == '\r' && rest[1] == '\n' {
+			return i, i + 3
+		}
+	}
+	return -1, 0
+}
+
+func (p *Parser) parseHead(text string) error {
+	lines := strings.Split(text, "\n")
+	m := &Message{Header: Header{}}
+	first := strings.TrimSuffix(lines[0], "\r")
+	var version string
+	if p.response {
+		var rest string
+		version, rest, _ = strings.Cut(first, " ")
+		code, _, _ := strings.Cut(rest, " ")
+		n, err := strconv.Atoi(code)
+		if err != nil || len(code) != 3 || n < 100 {
+			return bad("status line %q", first)
+		}
+		m.Status = n
+	} else {
+		f := strings.Split(first, " ")
+		if len(f) != 3 || !token(f[0]) || f[1] == "" {
+			return bad("request line %q", first)
+		}
+		m.Method, m.Target, version = f[0], f[1], f[2]
+	}
+	switch version {
+	case "HTTP/1.1":
+		m.Minor = 1
+	case "HTTP/1.0":
+	default:
+		return bad("version %q", version)
+	}
+	for _, line := range lines[1:] {
+		line = strings.TrimSuffix(line, "\r")
+		name, value, ok := strings.Cut(line, ":")
+		// A space before the colon, and a folded line, are ways to smuggle.
+		if !ok || !token(name) {
+			return bad("header field %q", line)
+		}
+		name, value = strings.ToLower(name), strings.Trim(value, " \t")
+		if strings.ContainsAny(value, "\x00\r") {
+			return bad("header field %q", line)
+		}
+		if old, again := m.Header[name]; again {
+			if name == "content-length" && old != value {
+				return bad("two lengths")
+			}
+			if name != "content-length" {
+				value = old + "," + value
+			}
+		}
+		m.Header[name] = value
+	}
+	m.Close = closes(m)
+	p.msg = m
+	return nil
+}
+
+func closes(m *Message) bool {
+	keep := m.Minor >= 1
+	for _, t := range strings.Split(strings.ToLower(m.Header["connection"]), ",") {
+		switch strings.Trim(t, " \t") {
+		case "close":
+			return true
+		case "keep-alive":
+			keep = true
+		}
+	}
+	return !keep
+}
+
+// frame finds how the body is framed.
+func (p *Parser) frame() (done, more bool, err error) {
+	m := p.msg
+	length, hasLength := m.Header["content-length"]
+	coding, hasCoding := m.Header["transfer-encoding"]
+	switch {
+	case hasCoding && hasLength:
+		return false, false, bad("both a length and a transfer coding") // a way to smuggle
+	case hasCoding:
+		if !strings.EqualFold(coding, "chunked") {
+			return false, false, &Error{501, "unknown transfer coding"}
+		}
+		p.state = inChunkSize
+		return false, true, nil
+	case hasLength:
+		if length == "" || len(length) > 18 || strings.Trim(length, "0123456789") != "" {
+			return false, false, bad("length %q", length)
+		}
+		n, err := strconv.Atoi(length)
+		if err != nil {
+			return false, false, bad("length %q", length)
+		}
+		if n > p.maxBody {
+			return false, false, &Error{413, "body too long"}
+		}
+		if n == 0 {
+			return true, false, nil
+		}
+		p.need, p.state = n, inBody
+		return false, true, nil
+	case p.response && m.Status >= 200 && m.Status != 204 && m.Status != 304:
+		m.Close = true
+		p.state = toEOF
+		return false, true, nil
+	}
+	return true, false, nil
+}
+
+func token(s string) bool {
+	if s == "" {
+		return false
+	}
+	for i := range len(s) {
+		c := s[i]
+		if c <= ' ' || c >= 0x7f || strings.IndexByte(`"(),/:;<=>?@[\]{}`, c) >= 0 {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/transport/net.go
@@ -0,0 +1,199 @@
+package transport
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	dialers  = 24  // dials under way at once; each may hang for the time to connect
+	maxDials = 256 // dials that wait for one of them
+)
+
+// worker runs netpoll's callbacks, for all connections, on one goroutine: none
+// is started for a request. They can't run on the poller's own: a connection
+// closed within a callback would wait there for the poller, that is for itself.
+var worker = tasks{ready: make(chan struct{}, 1)}
+
+type tasks struct {
+	mu    sync.Mutex
+	list  []func() // at most one for each connection
+	ready chan struct{}
+}
+
+func (t *tasks) add(_ context.Context, f func()) {
+	t.mu.Lock()
+	t.list = append(t.list, f)
+	t.mu.Unlock()
+	select {
+	case t.ready <- struct{}{}:
+	default:
+	}
+}
+
+func (t *tasks) run() {
+	for range t.ready {
+		t.mu.Lock()
+		list := t.list
+		t.list = nil
+		t.mu.Unlock()
+		for _, f := range list {
+			f()
+		}
+	}
+}
+
+func init() {
+	if err := netpoll.Configure(netpoll.Config{Runner: worker.add, LoadBalance: netpoll.RoundRobin}); err != nil {
+		panic(err) // the values are constants that netpoll accepts
+	}
+	go worker.run()
+}
+
+// Net opens and accepts connections for one owner.
+type Net struct {
+	post  Poster
+	onEnd func(Stats)
+	max   int64
+	open  atomic.Int64
+	dials chan dial
+	once  sync.Once
+}
+
+type dial struct {
+	addr    string
+	timeout time.Duration
+	h       Handler
+	done    func(*Conn, End)
+}
+
+// NewNet returns a Net whose callbacks are posted to p. It holds at most max
+// connections. onEnd, which may be nil, is told of each connection that ended.
+func NewNet(p Poster, max int, onEnd func(Stats)) *Net {
+	return &Net{post: p, onEnd: onEnd, max: int64(max), dials: make(chan dial, maxDials)}
+}
+
+func (n *Net) ended(s Stats) {
+	n.open.Add(-1)
+	if n.onEnd != nil {
+		n.onEnd(s)
+	}
+}
+
+// Dial opens a connection without blocking; done is posted with it, or with the
+// way in which it failed. A timeout of zero means netpoll's own.
+func (n *Net) Dial(addr string, timeout time.Duration, h Handler, done func(*Conn, End)) {
+	n.once.Do(func() {
+		for range dialers {
+			go n.dialLoop()
+		}
+	})
+	fail := func(e End) { n.post.Post(func() { done(nil, e) }) }
+	if _, err := netip.ParseAddrPort(addr); err != nil {
+		fail(NotDialed) // guards against names: there is no DNS
+		return
+	}
+	// Guards the limit on descriptors.
+	if n.open.Add(1) > n.max {
+		n.open.Add(-1)
+		fail(NoDescriptor)
+		return
+	}
+	select {
+	case n.dials <- dial{addr, timeout, h, done}:
+	default: // guards against a queue of dials that all hang
+		n.open.Add(-1)
+		fail(NotDialed)
+	}
+}
+
+func (n *Net) dialLoop() {
+	for d := range n.dials {
+		nc, err := netpoll.DialConnection("tcp", d.addr, d.timeout)
+		if err != nil {
+			n.open.Add(-1)
+			e := dialEnd(err)
+			n.post.Post(func() { d.done(nil, e) })
+			continue
+		}
+		c := newConn(n.post, nc, true, n.ended)
+		c.h = d.h
+		n.post.Post(func() { d.done(c, Open) }) // before any Data of it
+		c.attach()
+	}
+}
+
+func dialEnd(err error) End {
+	var timeout interface{ Timeout() bool }
+	switch {
+	case errors.Is(err, unix.EMFILE), errors.Is(err, unix.ENFILE):
+		return NoDescriptor
+	case errors.As(err, &timeout) && timeout.Timeout(), errors.Is(err, context.DeadlineExceeded):
+		return NeverUp
+	}
+	return Refused
+}
+
+// Listener accepts connections.
+type Listener struct {
+	ln netpoll.Listener
+}
+
+// Listen accepts connections at the address. Accept is called on the poller's
+// goroutine and returns the connection's handler.
+func (n *Net) Listen(addr string, accept func(*Conn) Handler) (*Listener, error) {
+	tcp, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("listening: %w", err)
+	}
+	ln, err := netpoll.ConvertListener(tcp)
+	if err != nil {
+		return nil, fmt.Errorf("listening at %s: %w", addr, err)
+	}
+	prepare := func(nc netpoll.Connection) context.Context {
+		if n.open.Add(1) > n.max {
+			n.open.Add(-1)
+			_ = nc.Close() // guards the limit on descriptors; the client tries elsewhere
+			return context.Background()
+		}
+		c := newConn(n.post, nc, false, n.ended)
+		c.h = accept(c)
+		_ = nc.AddCloseCallback(func(netpoll.Connection) error { c.hungUp(); return nil }) // never fails
+		return context.WithValue(context.Background(), connKey{}, c)
+	}
+	loop, err := netpoll.NewEventLoop(func(ctx context.Context, nc netpoll.Connection) error {
+		if c, ok := ctx.Value(connKey{}).(*Conn); ok {
+			c.readable()
+		}
+		return nil
+	}, netpoll.WithOnPrepare(prepare))
+	if err != nil {
+		return nil, fmt.Errorf("serving %s: %w", addr, err)
+	}
+	go func() { _ = loop.Serve(ln) }() // ends when the listener is closed
+	return &Listener{ln: ln}, nil
+}
+
+type connKey struct{}
+
+// Addr is the address listened at.
+func (l *Listener) Addr() net.Addr { return l.ln.Addr() }
+
+// Close stops accepting; connections live on. It shuts the socket down and
+// leaves the descriptor to the end of the program: netpoll's own Close closes
+// the number twice and might hit a connection that has got it since.
+func (l *Listener) Close() error {
+	if err := unix.Shutdown(l.ln.Fd(), unix.SHUT_RDWR); err != nil {
+		return fmt.Errorf("closing the listener: %w", err)
+	}
+	return nil
+}
