--- a/cmd/kiteloft/main.go
+++ b/cmd/kiteloft/main.go
@@ -17,8 +17,10 @@
 	"kiteloft/internal/broker"
 	"kiteloft/internal/config"
 	"kiteloft/internal/discovery"
+	"kiteloft/internal/front/flight"
 	"kiteloft/internal/front/platform"
 	"kiteloft/internal/node"
+	nodeflight "kiteloft/internal/node/flight"
 	"kiteloft/internal/transport"
 )
 
@@ -65,7 +67,7 @@
 	core := broker.New(set, decide.New(set.Module, cfg.Seed), clock, coreLog{log})
 	net := transport.NewNet(core, cfg.Sockets-ownFiles, nil)
 	links := node.New(core, net, node.Limits{ConnectTimeout: set.ConnectTimeout, ConnIdle: set.ConnIdle,
-		StreamsPerConn: set.StreamsPerConn}, log)
+		StreamsPerConn: set.StreamsPerConn}, map[string]node.Protocol{"": node.Frames, nodeflight.Scheme: nodeflight.Protocol}, log)
 	dir := discovery.New(core, net, cfg.Discovery, set.Zones, started.Add(-clockStart), log)
 	core.Use(links, dir)
 	front := platform.New(core, set.Module.Classes, log)
@@ -73,7 +75,23 @@
 	if err != nil {
 		return fmt.Errorf("LB_LISTEN: %w", err)
 	}
+	listeners := []*transport.Listener{ln}
+	var columns *flight.Front
+	if cfg.FlightListen != "" {
+		if columns, err = flight.New(core, set.Module.Classes, cfg.Seed, log); err != nil {
+			return fmt.Errorf("flight: %w", err)
+		}
+		ln, err := net.Listen(cfg.FlightListen, func(c *transport.Conn) transport.Handler { return columns.Accept(c) })
+		if err != nil {
+			return fmt.Errorf("flight.listen: %w", err)
+		}
+		listeners = append(listeners, ln)
+		log.Info().Str("listen", ln.Addr().String()).Msg("Flight front serves")
+	}
 	core.Post(func() {
+		if columns != nil {
+			columns.Start()
+		}
 		links.Start()
 		dir.Take(cfg.Known)
 		front.Ready()
@@ -88,10 +106,15 @@
 		log.Info().Msg("mixer ends: told to")
 		core.Post(func() {
 			core.After(acceptOn, func() {
-				if err := ln.Close(); err != nil {
-					log.Warn().Err(err).Msg("listener would not close")
+				for _, ln := range listeners {
+					if err := ln.Close(); err != nil {
+						log.Warn().Err(err).Msg("listener would not close")
+					}
 				}
 				front.Stop()
+				if columns != nil {
+					columns.Stop()
+				}
 				core.After(lingerOn, func() { core.Stop(func() { core.After(lingerOn, func() { close(stop) }) }) })
 			})
 		})
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -43,7 +43,7 @@
 type Answerer interface {
 	Served(whole bool, values []Value)
 	Refused(after time.Duration) // trying again is harmless, after that long
-	Failed()
+	Failed(expired bool)         // expired: its time is up
 }
 
 // Node is a stock node, as the directory names it.
@@ -93,6 +93,9 @@
 // module does so two ticks before.
 const lastGuard = 3 * time.Millisecond
 
+// lateTicks is how close to its end a query that fails counts as expired.
+const lateTicks = 4
+
 // Core is the broker's core. Its methods are called on its own goroutine, by
 // posted functions, except Post, Run and New.
 type Core struct {
@@ -338,7 +341,7 @@
 	}
 	c.log.Guard("one-answer", q.WireID, "the module had not ended it")
 	c.close(q)
-	q.Answerer.Failed()
+	q.Answerer.Failed(true)
 	c.events = append(c.events, decide.ClientGone{Query: q.id})
 }
 
--- a/internal/broker/step.go
+++ b/internal/broker/step.go
@@ -40,8 +40,7 @@
 			}
 		case decide.Fail:
 			if q := c.queries[a.Query]; q != nil {
-				c.close(q)
-				q.Answerer.Failed()
+				c.fail(q)
 			}
 		case decide.Wake:
 			c.timers.add(c.now+min(a.After, maxWake), func() {
@@ -165,8 +164,7 @@
 	// Guards the rule on honest answers against the module's own book-keeping.
 	if weight < floor-weightSlack {
 		c.log.Guard("honest", q.WireID, "answer from too few parts")
-		c.close(q)
-		q.Answerer.Failed()
+		c.fail(q)
 		c.events = append(c.events, decide.ClientGone{Query: q.id})
 		return
 	}
@@ -224,14 +222,19 @@
 	if q.class.Semantics != decide.Repeatable && slices.ContainsFunc(q.parts, (*part).mayHaveRun) {
 		// Guards the rule on refusals: what may have run may not run twice.
 		c.log.Guard("refusal", q.WireID, "a part may have run")
-		c.close(q)
-		q.Answerer.Failed()
+		c.fail(q)
 		return
 	}
 	c.close(q)
 	q.Answerer.Refused(after)
 }
 
+// fail ends a query without any promise.
+func (c *Core) fail(q *query) {
+	c.close(q)
+	q.Answerer.Failed(c.now >= q.end-lateTicks*c.set.Module.Tick)
+}
+
 func (p *part) mayHaveRun() bool {
 	return slices.ContainsFunc(p.attempts, func(a *Attempt) bool { return !a.over || !a.neverRan })
 }
--- /dev/null
+++ b/internal/columns/columns.go
@@ -0,0 +1,145 @@
+// Package columns puts values into Arrow record batches and takes them out
+// again, as the messages of a Flight stream.
+package columns
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/apache/arrow-go/v18/arrow"
+	"github.com/apache/arrow-go/v18/arrow/array"
+	"github.com/apache/arrow-go/v18/arrow/flight/gen/flight"
+	"github.com/apache/arrow-go/v18/arrow/ipc"
+	"github.com/apache/arrow-go/v18/arrow/memory"
+	"google.golang.org/protobuf/proto"
+
+	"kiteloft/internal/broker"
+)
+
+// Schema is that of every batch: a part's slice, and the value that its node gave.
+var Schema = arrow.NewSchema([]arrow.Field{
+	{Name: "slice", Type: arrow.PrimitiveTypes.Int32},
+	{Name: "body", Type: arrow.BinaryTypes.Binary},
+}, nil)
+
+// SchemaBytes is the schema as FlightInfo carries it.
+func SchemaBytes() ([]byte, error) {
+	var b bytes.Buffer
+	if err := ipc.NewWriter(&b, ipc.WithSchema(Schema)).Close(); err != nil {
+		return nil, fmt.Errorf("encoding the schema: %w", err)
+	}
+	return b.Bytes(), nil
+}
+
+// messages gathers what an ipc.Writer writes.
+type messages struct {
+	list [][]byte
+	meta []byte
+}
+
+func (m *messages) Start() error { return nil }
+func (m *messages) Close() error { return nil }
+
+func (m *messages) WritePayload(p ipc.Payload) error {
+	meta := p.Meta()
+	defer meta.Release()
+	var body bytes.Buffer
+	if err := p.SerializeBody(&body); err != nil {
+		return fmt.Errorf("encoding a batch: %w", err)
+	}
+	d := &flight.FlightData{DataHeader: bytes.Clone(meta.Bytes()), DataBody: body.Bytes()}
+	if len(m.list) > 0 {
+		d.AppMetadata = m.meta // on the batch, not on the schema before it
+	}
+	b, err := proto.Marshal(d)
+	if err != nil {
+		return fmt.Errorf("encoding a message: %w", err)
+	}
+	m.list = append(m.list, b)
+	return nil
+}
+
+// Encode returns the messages of a stream with one batch, which carries meta.
+func Encode(values []broker.Value, meta []byte) ([][]byte, error) {
+	b := array.NewRecordBuilder(memory.DefaultAllocator, Schema)
+	defer b.Release()
+	for _, v := range values {
+		b.Field(0).(*array.Int32Builder).Append(int32(v.Shard))
+		b.Field(1).(*array.BinaryBuilder).Append(v.Body)
+	}
+	batch := b.NewRecordBatch()
+	defer batch.Release()
+	m := &messages{meta: meta}
+	w := ipc.NewWriterWithPayloadWriter(m, ipc.WithSchema(Schema))
+	if err := w.Write(batch); err != nil {
+		return nil, fmt.Errorf("encoding a batch: %w", err)
+	}
+	if err := w.Close(); err != nil {
+		return nil, fmt.Errorf("encoding a batch: %w", err)
+	}
+	return m.list, nil
+}
+
+// stream hands the messages of a Flight stream to an ipc.Reader.
+type stream struct {
+	list [][]byte
+	meta []byte
+	last *ipc.Message
+}
+
+func (s *stream) Retain()  {}
+func (s *stream) Release() {}
+
+func (s *stream) Message() (*ipc.Message, error) {
+	for len(s.list) > 0 {
+		var d flight.FlightData
+		if err := proto.Unmarshal(s.list[0], &d); err != nil {
+			return nil, fmt.Errorf("reading a message: %w", err)
+		}
+		s.list = s.list[1:]
+		if len(d.AppMetadata) > 0 {
+			s.meta = d.AppMetadata
+		}
+		if len(d.DataHeader) > 0 { // others carry metadata alone
+			s.last = ipc.NewMessage(memory.NewBufferBytes(d.DataHeader), memory.NewBufferBytes(d.DataBody))
+			return s.last, nil
+		}
+	}
+	return nil, io.EOF
+}
+
+// Decode reads all messages of a stream that has ended in order. Meta is the
+// last metadata of the application's.
+func Decode(list [][]byte) (values []broker.Value, meta []byte, err error) {
+	// Guards against messages whose insides the library trusts too far.
+	defer func() {
+		if r := recover(); r != nil {
+			values, meta, err = nil, nil, fmt.Errorf("reading a batch: %v", r)
+		}
+	}()
+	s := &stream{list: list}
+	r, err := ipc.NewReaderFromMessageReader(s)
+	if err != nil {
+		return nil, nil, fmt.Errorf("reading the schema: %w", err)
+	}
+	defer r.Release()
+	if !r.Schema().Equal(Schema) {
+		return nil, nil, errors.New("a stream of another schema")
+	}
+	for r.Next() {
+		batch := r.RecordBatch()
+		slices, bodies := batch.Column(0).(*array.Int32), batch.Column(1).(*array.Binary)
+		for i := range int(batch.NumRows()) {
+			if slices.IsNull(i) || bodies.IsNull(i) {
+				return nil, nil, errors.New("a row without slice or body")
+			}
+			values = append(values, broker.Value{Shard: int(slices.Value(i)), Body: bytes.Clone(bodies.Value(i))})
+		}
+	}
+	if r.Err() != nil {
+		return nil, nil, fmt.Errorf("reading a batch: %w", r.Err())
+	}
+	return values, s.meta, nil
+}
--- /dev/null
+++ b/internal/front/flight/flight.go
@@ -0,0 +1,392 @@
+// Package flight is the Arrow Flight front: queries as tickets, answers as
+// record batches. It goes through the same core as the platform's front. All of
+// it runs on the core's goroutine.
+//
+// A ticket, and the command of a descriptor, is JSON: {"class":"stock-report",
+// "query":{"slices":[...],"filter":"..."}}, the query as on the platform's front.
+// grpc-timeout is the client's deadline, idempotency-key its key. The batch's
+// application metadata says {"entire":true} or false.
+package flight
+
+import (
+	"errors"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/apache/arrow-go/v18/arrow/flight/gen/flight"
+	jsoniter "github.com/json-iterator/go"
+	"github.com/rs/zerolog"
+	"golang.org/x/net/http2"
+	"golang.org/x/net/http2/hpack"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/protobuf/proto"
+
+	"kiteloft/decide"
+	"kiteloft/internal/broker"
+	"kiteloft/internal/columns"
+	"kiteloft/internal/front"
+	"kiteloft/internal/h2"
+	"kiteloft/internal/transport"
+)
+
+var json = jsoniter.ConfigCompatibleWithStandardLibrary
+
+const (
+	service    = "/arrow.flight.protocol.FlightService/"
+	maxMessage = 128 << 10        // bytes of a client's message: a query of 64 KiB, and its wrapping
+	callTime   = 10 * time.Second // a call's message must be whole within it
+	readTime   = 5 * time.Second  // an answer must be taken within it
+	sweepPace  = 250 * time.Millisecond
+)
+
+// Core is what this package needs of the core.
+type Core interface {
+	Now() time.Duration
+	After(d time.Duration, fn func())
+	Take(q broker.Query) (broker.Verdict, *broker.Handle)
+}
+
+// Conn is a connection to a client.
+type Conn interface {
+	Write(b []byte) int64
+	Close(e transport.End)
+	Idle() bool
+}
+
+// Front serves Flight clients.
+type Front struct {
+	core    Core
+	classes map[string]int
+	set     []decide.Class
+	log     zerolog.Logger
+	rng     *rand.Rand
+	schema  []byte
+	clients map[*client]struct{}
+	closing bool
+}
+
+// New returns a Front for the classes. Seed is for the ids that it gives.
+func New(core Core, classes []decide.Class, seed uint64, log zerolog.Logger) (*Front, error) {
+	schema, err := columns.SchemaBytes()
+	if err != nil {
+		return nil, err
+	}
+	return &Front{core: core, classes: front.Classes(classes), set: classes, log: log, schema: schema,
+		rng: rand.New(rand.NewPCG(seed, 1)), clients: map[*client]struct{}{}}, nil
+}
+
+// Start begins to look after connections.
+func (f *Front) Start() { f.core.After(sweepPace, f.sweep) }
+
+// client is one connection.
+type client struct {
+	f     *Front
+	conn  Conn
+	h2    *h2.Conn
+	calls map[*call]struct{}
+	half  bool // the client sends nothing more
+}
+
+// call is one stream, and its query's way back. It implements broker.Answerer.
+type call struct {
+	c       *client
+	s       *h2.Stream
+	begun   time.Duration
+	method  string
+	timeout string
+	key     string
+	again   bool
+	msgs    h2.Messages
+	msg     []byte
+	handle  *broker.Handle
+	done    bool // its status is on its way
+	doneAt  time.Duration
+}
+
+// Accept takes a new connection.
+func (f *Front) Accept(conn Conn) transport.Handler {
+	return &client{f: f, conn: conn, calls: map[*call]struct{}{}}
+}
+
+// Data implements transport.Handler.
+func (c *client) Data(b []byte) {
+	if c.h2 == nil {
+		c.h2 = h2.New(true, streams{c}, c.conn.Write)
+		c.f.clients[c] = struct{}{}
+	}
+	if err := c.h2.Receive(b); err != nil {
+		c.f.log.Info().Err(err).Msg("Flight client broke HTTP/2")
+		c.conn.Close(transport.BadInput)
+	}
+}
+
+// streams is the client as h2.Handler.
+type streams struct{ *client }
+
+// Headers implements h2.Handler.
+func (c streams) Headers(s *h2.Stream, fields []hpack.HeaderField, end bool) {
+	if k, ok := s.User.(*call); ok { // trailers of a request mean nothing
+		if end {
+			k.whole()
+		}
+		return
+	}
+	k := &call{c: c.client, s: s, begun: c.f.core.Now(), msgs: h2.Messages{Max: maxMessage},
+		timeout: h2.Get(fields, "grpc-timeout"), key: h2.Get(fields, "idempotency-key")}
+	again := h2.Get(fields, "grpc-previous-rpc-attempts")
+	k.again = again != "" && again != "0"
+	s.User = k
+	c.calls[k] = struct{}{}
+	method, ok := strings.CutPrefix(h2.Get(fields, ":path"), service)
+	if h2.Get(fields, ":method") != "POST" || !strings.HasPrefix(h2.Get(fields, "content-type"), "application/grpc") {
+		k.status(h2.Status{Code: codes.InvalidArgument, Message: "a call is a POST of application/grpc"})
+		return
+	}
+	if !ok || method != "DoGet" && method != "GetFlightInfo" {
+		k.status(h2.Status{Code: codes.Unimplemented, Message: "only GetFlightInfo and DoGet are served"})
+		return
+	}
+	k.method = method
+	if end {
+		k.whole()
+	}
+}
+
+// Data implements h2.Handler.
+func (c streams) Data(s *h2.Stream, b []byte, end bool) {
+	k, ok := s.User.(*call)
+	if !ok || k.done || k.handle != nil {
+		return
+	}
+	list, err := k.msgs.Add(b)
+	if err != nil {
+		k.status(h2.Status{Code: codes.ResourceExhausted, Message: err.Error()})
+		return
+	}
+	for _, m := range list {
+		if k.msg != nil {
+			k.malformed(errors.New("more than one message"))
+			return
+		}
+		k.msg = m
+	}
+	if end {
+		k.whole()
+	}
+}
+
+func (k *call) malformed(err error) {
+	k.c.f.log.Info().Str("method", k.method).Err(err).Msg("Flight call refused as malformed")
+	k.status(h2.Status{Code: codes.InvalidArgument, Message: err.Error()})
+}
+
+// whole serves a call whose message is there.
+func (k *call) whole() {
+	switch {
+	case k.done || k.handle != nil:
+	case k.msg == nil || k.msgs.Rest():
+		k.malformed(errors.New("the message is missing or cut"))
+	case k.method == "DoGet":
+		var t flight.Ticket
+		if err := proto.Unmarshal(k.msg, &t); err != nil {
+			k.malformed(errors.New("the ticket can't be read"))
+			return
+		}
+		k.query(t.Ticket)
+	default:
+		var d flight.FlightDescriptor
+		if err := proto.Unmarshal(k.msg, &d); err != nil || d.Type != flight.FlightDescriptor_CMD {
+			k.malformed(errors.New("the descriptor can't be read, or is no command"))
+			return
+		}
+		k.info(&d)
+	}
+}
+
+// ticket is a query and its class.
+type ticket struct {
+	Class string              `json:"class"`
+	Query jsoniter.RawMessage `json:"query"`
+}
+
+func (f *Front) parse(text []byte) (q broker.Query, err error) {
+	var t ticket
+	if err := json.Unmarshal(text, &t); err != nil {
+		return q, errors.New("the ticket is not a query")
+	}
+	class, ok := f.classes[t.Class]
+	if !ok {
+		return q, errors.New("no such class")
+	}
+	q.Class = class
+	return q, front.ParseBody(t.Query, &q)
+}
+
+// info answers GetFlightInfo: one endpoint, here, whose ticket is the command.
+func (k *call) info(d *flight.FlightDescriptor) {
+	if _, err := k.c.f.parse(d.Cmd); err != nil {
+		k.malformed(err)
+		return
+	}
+	b, err := proto.Marshal(&flight.FlightInfo{Schema: k.c.f.schema, FlightDescriptor: d, TotalRecords: -1, TotalBytes: -1,
+		Endpoint: []*flight.FlightEndpoint{{Ticket: &flight.Ticket{Ticket: d.Cmd}}}})
+	if err != nil {
+		k.status(h2.Status{Code: codes.Internal, Message: "the answer could not be encoded"})
+		return
+	}
+	k.answer([][]byte{b})
+}
+
+// query hands a DoGet to the core.
+func (k *call) query(text []byte) {
+	f := k.c.f
+	q, err := f.parse(text)
+	if err == nil {
+		err = front.CheckKey(k.key, &f.set[q.Class], &q)
+	}
+	q.Left = f.set[q.Class].Deadline
+	if err == nil && k.timeout != "" {
+		q.Left, err = h2.ParseTimeout(k.timeout)
+	}
+	if err != nil {
+		k.malformed(err)
+		return
+	}
+	// The deadline counts from the client's call, not from its last byte.
+	if q.Left -= f.core.Now() - k.begun; q.Left <= 0 {
+		k.status(h2.Status{Code: codes.DeadlineExceeded, Message: "out of time"})
+		return
+	}
+	id := strconv.FormatUint(f.rng.Uint64(), 16)
+	q.WireID = front.OwnPrefix + strings.Repeat("0", 16-len(id)) + id
+	q.Repeat, q.Answerer = k.again, k
+	switch verdict, handle := f.core.Take(q); verdict {
+	case broker.Taken:
+		k.handle = handle
+	case broker.Crowded:
+		k.status(h2.Status{Code: codes.Unavailable, Message: "too much is open", Pushback: front.CrowdedWait})
+	case broker.Duplicate: // an id drawn twice
+		k.status(h2.Status{Code: codes.Unavailable, Message: "try again", Pushback: front.CrowdedWait})
+	default:
+		k.malformed(errors.New("parts that can't be"))
+	}
+}
+
+// Served implements broker.Answerer.
+func (k *call) Served(whole bool, values []broker.Value) {
+	list, err := columns.Encode(values, []byte(`{"entire":`+strconv.FormatBool(whole)+`}`))
+	if err != nil {
+		k.c.f.log.Error().Err(err).Msg("answer could not be encoded")
+		k.status(h2.Status{Code: codes.Internal, Message: "the answer could not be encoded"})
+		return
+	}
+	k.answer(list)
+}
+
+// Refused implements broker.Answerer.
+func (k *call) Refused(after time.Duration) {
+	k.status(h2.Status{Code: codes.Unavailable, Message: "refused", Pushback: max(after, time.Millisecond)})
+}
+
+// Failed implements broker.Answerer.
+func (k *call) Failed(expired bool) {
+	if expired {
+		k.status(h2.Status{Code: codes.DeadlineExceeded, Message: "out of time"})
+		return
+	}
+	k.status(h2.Status{Code: codes.Internal, Message: "failed"})
+}
+
+var opening = []hpack.HeaderField{{Name: ":status", Value: "200"}, {Name: "content-type", Value: "application/grpc"}}
+
+func (k *call) answer(list [][]byte) {
+	if k.done {
+		return
+	}
+	k.end()
+	k.s.Headers(opening, false)
+	for _, m := range list {
+		k.s.Write(h2.AppendMessage(nil, m), false)
+	}
+	k.s.Trailers(h2.Status{}.Trailer())
+}
+
+// status ends a call without an answer.
+func (k *call) status(s h2.Status) {
+	if k.done {
+		return
+	}
+	k.end()
+	k.s.Headers(append(append([]hpack.HeaderField{}, opening...), s.Trailer()...), true)
+	// A client that is still sending need not go on.
+	k.s.Reset(http2.ErrCodeNo)
+}
+
+func (k *call) end() { k.done, k.doneAt, k.msgs = true, k.c.f.core.Now(), h2.Messages{} }
+
+// Closed implements h2.Handler: the client has cancelled the call.
+func (c streams) Closed(s *h2.Stream, _ http2.ErrCode, _ bool) {
+	if k, ok := s.User.(*call); ok {
+		c.forget(k)
+	}
+}
+
+func (c *client) forget(k *call) {
+	delete(c.calls, k)
+	if !k.done {
+		k.done = true
+		if k.handle != nil {
+			k.handle.ClientGone()
+		}
+	}
+}
+
+// HalfClosed implements transport.Handler. Nothing can come for open streams'
+// windows any more, so what is open is answered and that is all.
+func (c *client) HalfClosed() {
+	if c.half = true; c.h2 == nil || c.h2.Streams() == 0 {
+		c.conn.Close(transport.LocalDone)
+	}
+}
+
+// Ended implements transport.Handler.
+func (c *client) Ended(transport.End) {
+	delete(c.f.clients, c)
+	for k := range c.calls {
+		c.forget(k)
+	}
+}
+
+// sweep looks after calls and connections that no event comes for.
+func (f *Front) sweep() {
+	now := f.core.Now()
+	for c := range f.clients {
+		for k := range c.calls {
+			switch {
+			case k.done && !k.s.Open():
+				delete(c.calls, k)
+			case k.done && now-k.doneAt > readTime:
+				// Guards memory against a client that does not take its answer.
+				k.s.Reset(http2.ErrCodeCancel)
+				delete(c.calls, k)
+			case !k.done && k.handle == nil && now-k.begun > callTime:
+				// Guards streams against calls that begin and never end.
+				k.status(h2.Status{Code: codes.DeadlineExceeded, Message: "the call was not whole in time"})
+			}
+		}
+		if (f.closing || c.half) && c.h2.Streams() == 0 && c.conn.Idle() {
+			c.conn.Close(transport.LocalDone)
+		}
+	}
+	f.core.After(sweepPace, f.sweep)
+}
+
+// Stop lets clients open no new calls and closes each connection once it rests.
+func (f *Front) Stop() {
+	f.closing = true
+	for c := range f.clients {
+		c.h2.GoAway()
+	}
+}
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -12,6 +12,7 @@
 
 	"kiteloft/decide"
 	"kiteloft/internal/broker"
+	"kiteloft/internal/front"
 	"kiteloft/internal/http1"
 	"kiteloft/internal/transport"
 )
@@ -20,10 +21,7 @@
 
 const (
 	maxBuffered = http1.MaxHead + 2*http1.MaxBody // bytes of requests that wait for an answer before them
-	maxID       = 128
-	maxParts    = 4096
-	headTime    = 10 * time.Second       // a request that has begun must be whole within it
-	crowdedWait = 250 * time.Millisecond // Retry-After where too much is open
+	headTime    = 10 * time.Second                // a request that has begun must be whole within it
 	sweepPace   = 250 * time.Millisecond
 	drainQuiet  = 100 * time.Millisecond // how long a connection rests before it is closed at the end
 )
@@ -57,11 +55,7 @@
 // New returns a Front for the classes. It answers that it is ready once Ready
 // is called.
 func New(core Core, classes []decide.Class, log zerolog.Logger) *Front {
-	f := &Front{core: core, classes: map[string]int{}, set: classes, log: log, clients: map[*client]struct{}{}}
-	for i, c := range classes {
-		f.classes[c.Name] = i
-	}
-	return f
+	return &Front{core: core, classes: front.Classes(classes), set: classes, log: log, clients: map[*client]struct{}{}}
 }
 
 // Ready lets health checks pass and starts to look after connections.
@@ -177,7 +171,7 @@
 		r.handle = handle
 		c.open = r
 	case broker.Crowded:
-		c.reply(503, "text/plain", []byte("too much is open\n"), crowdedWait, m.Close)
+		c.reply(503, "text/plain", []byte("too much is open\n"), front.CrowdedWait, m.Close)
 	case broker.Duplicate:
 		text(400, "a request of that id is open")
 	default:
@@ -185,15 +179,6 @@
 	}
 }
 
-type body struct {
-	Slices []struct {
-		Slice  *int     `json:"slice"`
-		Mass   *float64 `json:"mass"`
-		Micros float64  `json:"micros"`
-	} `json:"slices"`
-	Filter string `json:"filter"`
-}
-
 // parse reads a query; a status other than 0 says why it is none.
 func (f *Front) parse(m *http1.Message, path string) (q broker.Query, status int, why string) {
 	name, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
@@ -201,52 +186,25 @@
 	if !ok {
 		return q, 404, "no such class"
 	}
-	h := m.Header
-	id, key := h.Get("req-id"), h.Get("idempotency-key")
-	switch {
-	case !word(id) || len(id) > maxID:
+	id := m.Header.Get("req-id")
+	if !front.Word(id) || strings.HasPrefix(id, front.OwnPrefix) {
 		return q, 400, "Req-Id is missing or no word"
-	case key != "" && (!word(key) || len(key) > maxID || strings.ContainsAny(key, ",=+")):
-		return q, 400, "Idempotency-Key is no word"
-	case key == "" && f.set[class].Semantics == decide.Keyed:
-		return q, 400, "Idempotency-Key is missing"
 	}
-	if f.set[class].Semantics != decide.Keyed {
-		key = ""
-	}
-	ms, err := strconv.ParseInt(h.Get("req-deadline-ms"), 10, 64)
+	ms, err := strconv.ParseInt(m.Header.Get("req-deadline-ms"), 10, 64)
 	if err != nil || ms <= 0 || ms > 24*3600*1000 {
 		return q, 400, "Req-Deadline-Ms is no time"
 	}
-	var b body
-	if err := json.Unmarshal(m.Body, &b); err != nil {
-		return q, 400, "the body is not a query"
-	}
-	if len(b.Slices) == 0 || len(b.Slices) > maxParts {
-		return q, 400, "slices: none, or too many"
+	q = broker.Query{WireID: id, Class: class, Left: time.Duration(ms) * time.Millisecond,
+		Repeat: m.Header.Get("req-retry") == "1"}
+	if err := front.CheckKey(m.Header.Get("idempotency-key"), &f.set[class], &q); err != nil {
+		return q, 400, err.Error()
 	}
-	q = broker.Query{WireID: id, Class: class, Key: key, Left: time.Duration(ms) * time.Millisecond,
-		Repeat: h.Get("req-retry") == "1", Text: []byte(b.Filter)}
-	for _, s := range b.Slices {
-		if s.Slice == nil || s.Mass == nil || s.Micros < 0 || s.Micros > 1e12 {
-			return q, 400, "slices: one without slice or mass, or with a guess that can't be"
-		}
-		q.Parts = append(q.Parts, broker.QueryPart{Shard: *s.Slice, Weight: *s.Mass,
-			Work: time.Duration(s.Micros * float64(time.Microsecond))})
+	if err := front.ParseBody(m.Body, &q); err != nil {
+		return q, 400, err.Error()
 	}
 	return q, 0, ""
 }
 
-// word tells whether s can stand in a frame's line.
-func word(s string) bool {
-	for i := range len(s) {
-		if s[i] <= ' ' || s[i] >= 0x7f {
-			return false
-		}
-	}
-	return s != ""
-}
-
 // Served implements broker.Answerer.
 func (r *request) Served(whole bool, values []broker.Value) {
 	b := append([]byte(`{"entire":`), strconv.FormatBool(whole)...)
@@ -273,7 +231,13 @@
 }
 
 // Failed implements broker.Answerer.
-func (r *request) Failed() { r.done(500, "text/plain", []byte("failed\n"), 0) }
+func (r *request) Failed(expired bool) {
+	if expired {
+		r.done(504, "text/plain", []byte("out of time\n"), 0)
+		return
+	}
+	r.done(500, "text/plain", []byte("failed\n"), 0)
+}
 
 func (r *request) done(status int, kind string, body []byte, after time.Duration) {
 	c := r.c
@@ -306,7 +270,8 @@
 
 var reasons = map[int]string{200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
 	413: "Content Too Large", 431: "Request Header Fields Too Large", 500: "Internal Server Error",
-	501: "Not Implemented", 503: "Service Unavailable"}
+	501: "Not Implemented", 503: "Service Unavailable",
+	504: "Gateway Timeout"}
 
 func head(status int, kind string, length int, after time.Duration, closes bool) []byte {
 	b := append([]byte("HTTP/1.1 "), strconv.Itoa(status)...)
--- /dev/null
+++ b/internal/front/query.go
@@ -0,0 +1,90 @@
+// Package front holds what the fronts share: the form of a query's body and the
+// rules for what clients name.
+package front
+
+import (
+	"errors"
+	"strings"
+	"time"
+
+	jsoniter "github.com/json-iterator/go"
+
+	"kiteloft/decide"
+	"kiteloft/internal/broker"
+)
+
+var json = jsoniter.ConfigCompatibleWithStandardLibrary
+
+const (
+	maxParts = 4096
+	maxWord  = 128
+	// OwnPrefix begins the ids of queries that come without one. A client's id may
+	// not begin so: ids of different fronts can't collide.
+	OwnPrefix = "fl-"
+)
+
+// CrowdedWait is how long a client is told to stay away when too much is open.
+const CrowdedWait = 250 * time.Millisecond
+
+type body struct {
+	Slices []struct {
+		Slice  *int     `json:"slice"`
+		Mass   *float64 `json:"mass"`
+		Micros float64  `json:"micros"`
+	} `json:"slices"`
+	Filter string `json:"filter"`
+}
+
+// ParseBody reads a query's parts and text into q.
+func ParseBody(text []byte, q *broker.Query) error {
+	var b body
+	if err := json.Unmarshal(text, &b); err != nil {
+		return errors.New("the body is not a query") // the library's words repeat the client's
+	}
+	if len(b.Slices) == 0 || len(b.Slices) > maxParts {
+		return errors.New("slices: none, or too many")
+	}
+	for _, s := range b.Slices {
+		if s.Slice == nil || s.Mass == nil || s.Micros < 0 || s.Micros > 1e12 {
+			return errors.New("slices: one without slice or mass, or with a guess that can't be")
+		}
+		q.Parts = append(q.Parts, broker.QueryPart{Shard: *s.Slice, Weight: *s.Mass,
+			Work: time.Duration(s.Micros * float64(time.Microsecond))})
+	}
+	q.Text = []byte(b.Filter)
+	return nil
+}
+
+// CheckKey checks an idempotency key; it stands in a frame's list. Only keyed
+// classes keep it.
+func CheckKey(key string, c *decide.Class, q *broker.Query) error {
+	switch {
+	case key != "" && (!Word(key) || strings.ContainsAny(key, ",=+")):
+		return errors.New("the idempotency key is no word")
+	case c.Semantics != decide.Keyed:
+		return nil
+	case key == "":
+		return errors.New("the idempotency key is missing")
+	}
+	q.Key = key
+	return nil
+}
+
+// Word tells whether s can stand in a frame's line.
+func Word(s string) bool {
+	for i := range len(s) {
+		if s[i] <= ' ' || s[i] >= 0x7f {
+			return false
+		}
+	}
+	return s != "" && len(s) <= maxWord
+}
+
+// Classes finds classes by name.
+func Classes(list []decide.Class) map[string]int {
+	m := map[string]int{}
+	for i, c := range list {
+		m[c.Name] = i
+	}
+	return m
+}
--- /dev/null
+++ b/internal/h2/conn.go
@@ -0,0 +1,551 @@
+// Package h2 speaks HTTP/2 and gRPC's framing on top of it, for either side of a
+// connection. It is pure: bytes go in by Receive and out by a function, and all
+// of it runs on one goroutine. No goroutine or timer belongs to a stream.
+package h2
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+
+	"golang.org/x/net/http2"
+	"golang.org/x/net/http2/hpack"
+)
+
+const (
+	frameHeader   = 9
+	maxFrame      = 16 << 10 // bytes of a frame that we take: the least that we may ask for
+	maxHeaders    = 16 << 10 // bytes of header fields, unpacked
+	maxBlock      = 32 << 10 // bytes of a header block with its continuations
+	maxStreams    = 128      // streams that a client may have open
+	maxResets     = 512      // streams that a client may cancel before we have answered anything more
+	streamWindow  = 64 << 10 // bytes that a peer may send before we have taken them
+	defaultWindow = 65535
+	maxWindow     = 1<<31 - 1
+	maxPending    = 4 << 20 // bytes that wait for a stream's window
+)
+
+// Handler is told what happens on a connection's streams.
+type Handler interface {
+	// Headers brings the header fields that open a stream, a response's, or the
+	// trailers.
+	Headers(s *Stream, fields []hpack.HeaderField, end bool)
+	// Data brings bytes; they are valid only during the call.
+	Data(s *Stream, b []byte, end bool)
+	// Closed says that the peer ended the stream with an error. NeverRan is true
+	// where HTTP/2 promises that the peer has not acted on it.
+	Closed(s *Stream, code http2.ErrCode, neverRan bool)
+}
+
+// Conn is one side of a connection.
+type Conn struct {
+	server  bool
+	h       Handler
+	write   func([]byte) int64
+	in      []byte
+	preface int // bytes of the client's preface still to come
+	src     bytes.Reader
+	dst     bytes.Buffer
+	fr      *http2.Framer
+	enc     *hpack.Encoder
+	block   bytes.Buffer
+
+	streams     map[uint32]*Stream
+	nextID      uint32 // client: of the next stream
+	lastID      uint32 // server: of the latest stream
+	window      int64  // bytes that we may send
+	initial     int64  // window of a new stream
+	frameSize   int
+	peerStreams int   // streams that the peer lets us open
+	took        int64 // bytes received and not yet given back to the connection's window
+	resets      int
+	goingAway   bool // no new streams: the peer said so, or we did
+	err         error
+}
+
+// Stream is one request and its response.
+type Stream struct {
+	ID      uint32
+	User    any // the handler's own
+	c       *Conn
+	window  int64
+	took    int64 // bytes received and not yet given back
+	recv    int64 // bytes that the peer may still send
+	pending []byte
+	end     bool // the last byte of pending ends the stream
+	trailer []hpack.HeaderField
+	ended   bool  // we have ended our side
+	done    bool  // the peer has ended its side
+	offset  int64 // of the byte that ended our side; 0: not sent yet
+	gone    bool
+}
+
+// New returns a connection that sends by write, which returns the offset of the
+// last byte. Its settings are sent at once.
+func New(server bool, h Handler, write func([]byte) int64) *Conn {
+	c := &Conn{server: server, h: h, write: write, streams: map[uint32]*Stream{}, nextID: 1, window: defaultWindow,
+		initial: defaultWindow, frameSize: maxFrame, peerStreams: maxStreams}
+	c.fr = http2.NewFramer(&c.dst, &c.src)
+	c.fr.SetMaxReadFrameSize(maxFrame)
+	c.fr.ReadMetaHeaders = hpack.NewDecoder(4096, nil)
+	c.fr.MaxHeaderListSize = maxHeaders
+	c.enc = hpack.NewEncoder(&c.block)
+	settings := []http2.Setting{{ID: http2.SettingInitialWindowSize, Val: streamWindow},
+		{ID: http2.SettingMaxHeaderListSize, Val: maxHeaders}}
+	if server {
+		c.preface = len(http2.ClientPreface)
+		settings = append(settings, http2.Setting{ID: http2.SettingMaxConcurrentStreams, Val: maxStreams})
+	} else {
+		c.dst.WriteString(http2.ClientPreface)
+		settings = append(settings, http2.Setting{ID: http2.SettingEnablePush, Val: 0})
+	}
+	_ = c.fr.WriteSettings(settings...) // writes to a buffer; so do all below
+	c.flush()
+	return c
+}
+
+func (c *Conn) flush() int64 {
+	if c.dst.Len() == 0 {
+		return c.write(nil)
+	}
+	b := bytes.Clone(c.dst.Bytes())
+	c.dst.Reset()
+	return c.write(b)
+}
+
+// Streams is the number of open streams.
+func (c *Conn) Streams() int { return len(c.streams) }
+
+// Room is the number of streams that may still be opened.
+func (c *Conn) Room() int {
+	if c.goingAway || c.err != nil || c.nextID > maxWindow-2 {
+		return 0
+	}
+	return max(0, c.peerStreams-len(c.streams))
+}
+
+// errConn is an error that ends the connection.
+type errConn struct {
+	code http2.ErrCode
+	why  string
+}
+
+func (e errConn) Error() string { return fmt.Sprintf("%v: %s", e.code, e.why) }
+
+// Receive takes bytes from the peer. After an error the connection is to be
+// closed; the peer has been told why.
+func (c *Conn) Receive(b []byte) error {
+	if c.err != nil {
+		return c.err
+	}
+	c.in = append(c.in, b...)
+	c.err = c.receive()
+	if c.err != nil {
+		code := http2.ErrCodeProtocol
+		var own errConn
+		var theirs http2.ConnectionError
+		switch {
+		case errors.As(c.err, &own):
+			code = own.code
+		case errors.As(c.err, &theirs):
+			code = http2.ErrCode(theirs)
+		case errors.Is(c.err, http2.ErrFrameTooLarge):
+			code = http2.ErrCodeFrameSize
+		}
+		_ = c.fr.WriteGoAway(c.lastID, code, nil)
+	}
+	c.flush()
+	return c.err
+}
+
+func (c *Conn) receive() error {
+	if n := min(c.preface, len(c.in)); n > 0 {
+		at := len(http2.ClientPreface) - c.preface
+		if string(c.in[:n]) != http2.ClientPreface[at:at+n] {
+			return errConn{http2.ErrCodeProtocol, "no HTTP/2 preface"}
+		}
+		c.in, c.preface = c.in[n:], c.preface-n
+	}
+	for c.preface == 0 && c.err == nil {
+		n, err := c.whole()
+		if n == 0 || err != nil {
+			return err
+		}
+		c.src.Reset(c.in[:n])
+		f, err := c.fr.ReadFrame()
+		c.in = c.in[n:]
+		if len(c.in) == 0 {
+			c.in = nil
+		}
+		var se http2.StreamError
+		switch {
+		case errors.As(err, &se):
+			c.streamError(se)
+		case err != nil:
+			return err
+		default:
+			if err := c.take(f); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// whole is the length of the next frame, with the continuations of its header
+// block, once all of it is there.
+func (c *Conn) whole() (int, error) {
+	for n := 0; ; {
+		if len(c.in) < n+frameHeader {
+			return 0, nil
+		}
+		h := c.in[n:]
+		length := int(binary.BigEndian.Uint32(h) >> 8)
+		if length > maxFrame {
+			return 0, errConn{http2.ErrCodeFrameSize, "frame too long"}
+		}
+		kind, flags := http2.FrameType(h[3]), http2.Flags(h[4])
+		if n += frameHeader + length; len(c.in) < n {
+			return 0, nil
+		}
+		opens := kind == http2.FrameHeaders || kind == http2.FrameContinuation || kind == http2.FramePushPromise
+		if !opens || flags.Has(http2.FlagHeadersEndHeaders) {
+			return n, nil
+		}
+		// Guards memory against continuations without end.
+		if n > maxBlock {
+			return 0, errConn{http2.ErrCodeEnhanceYourCalm, "header block too long"}
+		}
+	}
+}
+
+func (c *Conn) streamError(se http2.StreamError) {
+	_ = c.fr.WriteRSTStream(se.StreamID, se.Code)
+	c.lastID = max(c.lastID, c.ifServer(se.StreamID))
+	if s := c.streams[se.StreamID]; s != nil {
+		s.forget()
+		c.h.Closed(s, se.Code, false)
+	}
+}
+
+func (c *Conn) ifServer(id uint32) uint32 {
+	if c.server {
+		return id
+	}
+	return 0
+}
+
+func (c *Conn) take(f http2.Frame) error {
+	switch f := f.(type) {
+	case *http2.SettingsFrame:
+		return c.settings(f)
+	case *http2.MetaHeadersFrame:
+		return c.headers(f)
+	case *http2.DataFrame:
+		return c.data(f)
+	case *http2.WindowUpdateFrame:
+		return c.windowUpdate(f)
+	case *http2.RSTStreamFrame:
+		return c.reset(f)
+	case *http2.PingFrame:
+		if !f.IsAck() {
+			_ = c.fr.WritePing(true, f.Data)
+		}
+	case *http2.GoAwayFrame:
+		c.goAway(f)
+	case *http2.PushPromiseFrame:
+		return errConn{http2.ErrCodeProtocol, "a push that we ruled out"}
+	}
+	return nil
+}
+
+func (c *Conn) settings(f *http2.SettingsFrame) error {
+	if f.IsAck() {
+		return nil
+	}
+	err := f.ForeachSetting(func(s http2.Setting) error {
+		if err := s.Valid(); err != nil {
+			return err
+		}
+		switch s.ID {
+		case http2.SettingInitialWindowSize:
+			by := int64(s.Val) - c.initial
+			c.initial = int64(s.Val)
+			for _, st := range c.streams {
+				if st.window += by; st.window > maxWindow {
+					return errConn{http2.ErrCodeFlowControl, "window too large"}
+				}
+			}
+		case http2.SettingMaxFrameSize:
+			c.frameSize = min(int(s.Val), maxFrame)
+		case http2.SettingMaxConcurrentStreams:
+			c.peerStreams = int(min(s.Val, maxStreams))
+		case http2.SettingHeaderTableSize:
+			c.enc.SetMaxDynamicTableSize(min(s.Val, 4096))
+		}
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	_ = c.fr.WriteSettingsAck()
+	c.pump()
+	return nil
+}
+
+func (c *Conn) headers(f *http2.MetaHeadersFrame) error {
+	s := c.streams[f.StreamID]
+	if s == nil {
+		if !c.server {
+			return nil // of a stream that we gave up
+		}
+		if f.StreamID%2 == 0 || f.StreamID <= c.lastID {
+			return errConn{http2.ErrCodeStreamClosed, "headers of a stream that is closed"}
+		}
+		c.lastID = f.StreamID
+		// Guards memory and the core against more than we said we take.
+		if len(c.streams) >= maxStreams || c.goingAway {
+			_ = c.fr.WriteRSTStream(f.StreamID, http2.ErrCodeRefusedStream)
+			return nil
+		}
+		s = c.add(f.StreamID)
+	}
+	if s.done {
+		return errConn{http2.ErrCodeStreamClosed, "headers after the end of a stream"}
+	}
+	if f.Truncated {
+		s.Reset(http2.ErrCodeEnhanceYourCalm)
+		c.h.Closed(s, http2.ErrCodeEnhanceYourCalm, false)
+		return nil
+	}
+	s.done = f.StreamEnded()
+	c.h.Headers(s, f.Fields, s.done)
+	s.maybeForget()
+	return nil
+}
+
+func (c *Conn) add(id uint32) *Stream {
+	s := &Stream{ID: id, c: c, window: c.initial, recv: streamWindow}
+	c.streams[id] = s
+	return s
+}
+
+func (c *Conn) data(f *http2.DataFrame) error {
+	n := int64(f.Length)
+	c.took += n
+	if c.took >= defaultWindow/2 {
+		_ = c.fr.WriteWindowUpdate(0, uint32(c.took))
+		c.took = 0
+	}
+	s := c.streams[f.StreamID]
+	if s == nil {
+		if c.server && f.StreamID > c.lastID || !c.server && f.StreamID >= c.nextID {
+			return errConn{http2.ErrCodeProtocol, "data of a stream that was never open"}
+		}
+		return nil // of a stream that is over
+	}
+	if s.done {
+		return errConn{http2.ErrCodeStreamClosed, "data after the end of a stream"}
+	}
+	// Guards memory against a peer that disregards flow control.
+	if s.recv -= n; s.recv < 0 {
+		return errConn{http2.ErrCodeFlowControl, "more data than the window has room for"}
+	}
+	s.done = f.StreamEnded()
+	c.h.Data(s, f.Data(), s.done)
+	if s.gone {
+		return nil
+	}
+	if s.took += n; s.took >= streamWindow/2 && !s.done {
+		_ = c.fr.WriteWindowUpdate(s.ID, uint32(s.took))
+		s.recv += s.took
+		s.took = 0
+	}
+	s.maybeForget()
+	return nil
+}
+
+func (c *Conn) windowUpdate(f *http2.WindowUpdateFrame) error {
+	by := int64(f.Increment)
+	if f.StreamID == 0 {
+		if c.window += by; c.window > maxWindow {
+			return errConn{http2.ErrCodeFlowControl, "window too large"}
+		}
+		c.pump()
+		return nil
+	}
+	if s := c.streams[f.StreamID]; s != nil {
+		if s.window += by; s.window > maxWindow {
+			s.Reset(http2.ErrCodeFlowControl)
+			c.h.Closed(s, http2.ErrCodeFlowControl, false)
+			return nil
+		}
+		s.pump()
+	}
+	return nil
+}
+
+func (c *Conn) reset(f *http2.RSTStreamFrame) error {
+	// Guards against a client that opens and cancels streams in a loop.
+	if c.server {
+		if c.resets++; c.resets > maxResets {
+			return errConn{http2.ErrCodeEnhanceYourCalm, "too many streams cancelled"}
+		}
+	}
+	if s := c.streams[f.StreamID]; s != nil {
+		s.forget()
+		c.h.Closed(s, f.ErrCode, f.ErrCode == http2.ErrCodeRefusedStream)
+	}
+	return nil
+}
+
+// goAway ends the streams that the peer says it will never act on.
+func (c *Conn) goAway(f *http2.GoAwayFrame) {
+	c.goingAway = true
+	if c.server {
+		return
+	}
+	for _, s := range c.sorted() {
+		if s.ID > f.LastStreamID {
+			s.forget()
+			c.h.Closed(s, f.ErrCode, true)
+		}
+	}
+}
+
+// GoAway tells the peer to open no more streams here.
+func (c *Conn) GoAway() {
+	if !c.goingAway {
+		c.goingAway = true
+		_ = c.fr.WriteGoAway(c.lastID, http2.ErrCodeNo, nil)
+		c.flush()
+	}
+}
+
+// Open begins a stream. The caller has looked at Room.
+func (c *Conn) Open(fields []hpack.HeaderField, data []byte) *Stream {
+	s := c.add(c.nextID)
+	c.nextID += 2
+	c.writeHeaders(s, fields, false)
+	s.Write(data, true)
+	return s
+}
+
+func (c *Conn) writeHeaders(s *Stream, fields []hpack.HeaderField, end bool) {
+	c.block.Reset()
+	for _, f := range fields {
+		_ = c.enc.WriteField(f) // writes to a buffer
+	}
+	b := c.block.Bytes()
+	n := min(len(b), c.frameSize)
+	_ = c.fr.WriteHeaders(http2.HeadersFrameParam{StreamID: s.ID, BlockFragment: b[:n], EndStream: end,
+		EndHeaders: n == len(b)})
+	for b = b[n:]; len(b) > 0; b = b[n:] {
+		n = min(len(b), c.frameSize)
+		_ = c.fr.WriteContinuation(s.ID, n == len(b), b[:n])
+	}
+}
+
+// Headers sends header fields, which end our side if end is set.
+func (s *Stream) Headers(fields []hpack.HeaderField, end bool) {
+	if s.gone || s.ended {
+		return
+	}
+	s.c.resets = 0
+	s.c.writeHeaders(s, fields, end)
+	s.finish(end)
+}
+
+func (s *Stream) finish(end bool) {
+	at := s.c.flush()
+	if end {
+		s.ended, s.offset = true, at
+		s.maybeForget()
+	}
+}
+
+// Write sends bytes as far as the windows allow; the rest waits for them.
+func (s *Stream) Write(b []byte, end bool) {
+	if s.gone || s.ended || s.end {
+		return
+	}
+	s.pending, s.end = append(s.pending, b...), end
+	s.pump()
+	// Guards memory against a peer that opens no window.
+	if len(s.pending) > maxPending {
+		s.Reset(http2.ErrCodeEnhanceYourCalm)
+		s.c.h.Closed(s, http2.ErrCodeEnhanceYourCalm, false)
+	}
+}
+
+// Trailers ends our side with header fields, after all that was written.
+func (s *Stream) Trailers(fields []hpack.HeaderField) {
+	s.trailer = fields
+	s.pump()
+}
+
+// Open reports whether the stream has not ended on both sides.
+func (s *Stream) Open() bool { return !s.gone }
+
+// Sent is the offset of the byte that ended our side, and whether it was handed
+// to the connection.
+func (s *Stream) Sent() (int64, bool) { return s.offset, s.ended }
+
+func (s *Stream) pump() {
+	if s.gone || s.ended {
+		return
+	}
+	for len(s.pending) > 0 || s.end {
+		n := int(min(int64(len(s.pending)), int64(s.c.frameSize), s.window, s.c.window))
+		if n <= 0 && len(s.pending) > 0 {
+			break
+		}
+		end := s.end && n == len(s.pending)
+		_ = s.c.fr.WriteData(s.ID, end, s.pending[:n])
+		s.pending = s.pending[n:]
+		s.window -= int64(n)
+		s.c.window -= int64(n)
+		if end {
+			s.finish(true)
+			return
+		}
+	}
+	if len(s.pending) == 0 && s.trailer != nil {
+		s.c.writeHeaders(s, s.trailer, true)
+		s.finish(true)
+		return
+	}
+	s.c.flush()
+}
+
+// pump goes on with every stream that waits for the connection's window, in the
+// order of their ids.
+func (c *Conn) pump() {
+	for _, s := range c.sorted() {
+		if len(s.pending) > 0 {
+			s.pump()
+		}
+	}
+}
+
+// Reset ends the stream with an error code; the handler is not told.
+func (s *Stream) Reset(code http2.ErrCode) {
+	if s.gone {
+		return
+	}
+	_ = s.c.fr.WriteRSTStream(s.ID, code)
+	s.forget()
+	s.c.flush()
+}
+
+func (s *Stream) maybeForget() {
+	if s.ended && s.done {
+		s.forget()
+	}
+}
+
+func (s *Stream) forget() {
+	s.gone, s.pending = true, nil
+	delete(s.c.streams, s.ID)
+}
--- /dev/null
+++ b/internal/h2/grpc.go
@@ -0,0 +1,158 @@
+package h2
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"golang.org/x/net/http2/hpack"
+	"google.golang.org/grpc/codes"
+)
+
+const messageHead = 5 // bytes before each gRPC message
+
+// ErrMessage is a gRPC message that can't be taken.
+var ErrMessage = errors.New("gRPC message compressed or too long")
+
+func (c *Conn) sorted() []*Stream {
+	return slices.SortedFunc(maps.Values(c.streams), func(a, b *Stream) int { return int(a.ID) - int(b.ID) })
+}
+
+// Messages cuts a stream's data into gRPC messages of at most Max bytes.
+type Messages struct {
+	Max int
+	buf []byte
+}
+
+// Add takes bytes and returns the messages that are whole now.
+func (m *Messages) Add(b []byte) (list [][]byte, err error) {
+	m.buf = append(m.buf, b...)
+	for len(m.buf) >= messageHead {
+		n := binary.BigEndian.Uint32(m.buf[1:])
+		if m.buf[0] != 0 || uint64(n) > uint64(m.Max) {
+			return list, ErrMessage
+		}
+		end := messageHead + int(n)
+		if len(m.buf) < end {
+			break
+		}
+		list = append(list, m.buf[messageHead:end:end])
+		m.buf = m.buf[end:]
+	}
+	return list, nil
+}
+
+// Rest reports whether a message has begun and not ended.
+func (m *Messages) Rest() bool { return len(m.buf) > 0 }
+
+// AppendMessage adds a gRPC message to b.
+func AppendMessage(b, msg []byte) []byte {
+	b = append(b, 0)
+	b = binary.BigEndian.AppendUint32(b, uint32(len(msg)))
+	return append(b, msg...)
+}
+
+var timeUnits = []struct {
+	letter byte
+	unit   time.Duration
+}{{'n', time.Nanosecond}, {'u', time.Microsecond}, {'m', time.Millisecond}, {'S', time.Second}, {'M', time.Minute},
+	{'H', time.Hour}}
+
+// ParseTimeout reads the value of grpc-timeout.
+func ParseTimeout(s string) (time.Duration, error) {
+	if len(s) < 2 || len(s) > 9 {
+		return 0, fmt.Errorf("grpc-timeout %q", s)
+	}
+	n, err := strconv.ParseUint(s[:len(s)-1], 10, 32)
+	if err != nil {
+		return 0, fmt.Errorf("grpc-timeout %q: %w", s, err)
+	}
+	for _, u := range timeUnits {
+		if u.letter == s[len(s)-1] {
+			const most = 1000 * time.Hour // far above any deadline, far under an overflow
+			if time.Duration(n) > most/u.unit {
+				return most, nil
+			}
+			return time.Duration(n) * u.unit, nil
+		}
+	}
+	return 0, fmt.Errorf("grpc-timeout %q: unknown unit", s)
+}
+
+// FormatTimeout writes a value of grpc-timeout, in the finest unit that fits.
+func FormatTimeout(d time.Duration) string {
+	d = max(d, 0)
+	for _, u := range timeUnits {
+		if n := d / u.unit; n < 1e8 {
+			return strconv.FormatInt(int64(n), 10) + string(u.letter)
+		}
+	}
+	return "99999999H"
+}
+
+// Status is how a call ended.
+type Status struct {
+	Code     codes.Code
+	Message  string
+	Pushback time.Duration // how long to wait before trying again; 0: nothing is said
+}
+
+// Trailer returns the fields that end a call.
+func (s Status) Trailer() []hpack.HeaderField {
+	f := []hpack.HeaderField{{Name: "grpc-status", Value: strconv.Itoa(int(s.Code))}}
+	if s.Message != "" {
+		f = append(f, hpack.HeaderField{Name: "grpc-message", Value: escape(s.Message)})
+	}
+	if s.Pushback > 0 {
+		f = append(f, hpack.HeaderField{Name: "grpc-retry-pushback-ms",
+			Value: strconv.FormatInt(max(1, s.Pushback.Milliseconds()), 10)})
+	}
+	return f
+}
+
+// ParseStatus reads the fields that end a call; ok is false where they have no
+// status.
+func ParseStatus(fields []hpack.HeaderField) (s Status, ok bool) {
+	for _, f := range fields {
+		switch f.Name {
+		case "grpc-status":
+			n, err := strconv.ParseUint(f.Value, 10, 8)
+			s.Code, ok = codes.Code(n), err == nil
+		case "grpc-message":
+			s.Message = f.Value
+		case "grpc-retry-pushback-ms":
+			if n, err := strconv.ParseInt(f.Value, 10, 32); err == nil && n > 0 {
+				s.Pushback = time.Duration(n) * time.Millisecond
+			}
+		}
+	}
+	return s, ok
+}
+
+// escape percent-encodes what a header field can't hold.
+func escape(s string) string {
+	var b strings.Builder
+	for i := range len(s) {
+		if c := s[i]; c >= ' ' && c <= '~' && c != '%' {
+			b.WriteByte(c)
+		} else {
+			fmt.Fprintf(&b, "%%%02X", c)
+		}
+	}
+	return b.String()
+}
+
+// Get returns the value of a header field, or "".
+func Get(fields []hpack.HeaderField, name string) string {
+	for _, f := range fields {
+		if f.Name == name {
+			return f.Value
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/node/flight/flight.go
@@ -0,0 +1,252 @@
+// Package flight is the protocol of stock nodes that speak Arrow Flight. Each
+// part is a DoGet of its own; it is in only when its stream has ended with OK.
+// All of it runs on the core's goroutine.
+//
+// A ticket is JSON: {"id":"fl-....3","class":"stock-report","slice":3,
+// "filter":"..."}, and in a second step "from":[3,5] and "whole":true besides.
+// grpc-timeout says how long the part is waited for; idempotency-key is the
+// query's key. The stream's application metadata may say {"score":1840277719}.
+package flight
+
+import (
+	"math"
+	"strconv"
+
+	"github.com/apache/arrow-go/v18/arrow/flight/gen/flight"
+	jsoniter "github.com/json-iterator/go"
+	"golang.org/x/net/http2"
+	"golang.org/x/net/http2/hpack"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/protobuf/proto"
+
+	"kiteloft/decide"
+	"kiteloft/internal/columns"
+	"kiteloft/internal/h2"
+	"kiteloft/internal/node"
+)
+
+var json = jsoniter.ConfigCompatibleWithStandardLibrary
+
+// Scheme is that of the addresses of such nodes.
+const Scheme = "grpc+tcp"
+
+const (
+	maxMessage = 1 << 20 // bytes of one message of a node
+	maxAnswer  = 1 << 20 // bytes of a whole stream
+)
+
+// Protocol begins a session.
+func Protocol(l *node.Link) node.Session {
+	s := &session{l: l}
+	s.h2 = h2.New(false, streams{s}, l.Write)
+	return s
+}
+
+type session struct {
+	l  *node.Link
+	h2 *h2.Conn
+}
+
+// part is one DoGet.
+type part struct {
+	t     *node.Ticket // nil: a probe
+	s     *h2.Stream
+	msgs  h2.Messages
+	list  [][]byte
+	bytes int
+	ended bool // its outcome is known
+}
+
+type ticket struct {
+	ID     string `json:"id"`
+	Class  string `json:"class"`
+	Slice  int    `json:"slice"`
+	Filter string `json:"filter"`
+	From   []int  `json:"from,omitempty"`
+	Whole  *bool  `json:"whole,omitempty"`
+}
+
+// Send implements node.Session.
+func (s *session) Send(call []*node.Ticket) {
+	for _, t := range call {
+		tk := ticket{ID: t.ID, Class: t.Class, Slice: t.Shard, Filter: string(t.Text)}
+		if t.Second {
+			tk.From, tk.Whole = t.From, &t.Whole
+		}
+		p := &part{t: t, msgs: h2.Messages{Max: maxMessage}}
+		t.User = p
+		fields := head("DoGet", h2.FormatTimeout(s.l.Left(t)))
+		if t.Key != "" {
+			fields = append(fields, hpack.HeaderField{Name: "idempotency-key", Value: t.Key})
+		}
+		text, err := json.Marshal(tk)
+		if err == nil {
+			text, err = proto.Marshal(&flight.Ticket{Ticket: text})
+		}
+		if err != nil { // nothing was sent
+			s.l.Complain(err.Error())
+			s.l.Done(t, decide.Moot, 0, nil)
+			continue
+		}
+		p.s = s.h2.Open(fields, h2.AppendMessage(nil, text))
+		p.s.User = p
+	}
+}
+
+func head(method, timeout string) []hpack.HeaderField {
+	return []hpack.HeaderField{{Name: ":method", Value: "POST"}, {Name: ":scheme", Value: "http"},
+		{Name: ":path", Value: "/arrow.flight.protocol.FlightService/" + method}, {Name: ":authority", Value: "stock-node"},
+		{Name: "content-type", Value: "application/grpc"}, {Name: "te", Value: "trailers"},
+		{Name: "grpc-timeout", Value: timeout}}
+}
+
+// Sent implements node.Session.
+func (s *session) Sent(t *node.Ticket) (int64, bool) {
+	if p, ok := t.User.(*part); ok && p.s != nil {
+		return p.s.Sent()
+	}
+	return 0, false
+}
+
+// GiveUp implements node.Session.
+func (s *session) GiveUp(t *node.Ticket) {
+	if p, ok := t.User.(*part); ok && p.s != nil {
+		p.ended = true
+		p.s.Reset(http2.ErrCodeCancel)
+	}
+}
+
+// Probe implements node.Session: a ping of gRPC's would show only that the
+// connection lives, so the node is asked for the schema of nothing, which any
+// answer to proves that it runs.
+func (s *session) Probe() {
+	b, err := proto.Marshal(&flight.FlightDescriptor{Type: flight.FlightDescriptor_CMD, Cmd: []byte("{}")})
+	if err != nil || s.h2.Room() == 0 {
+		s.l.Probed(decide.Moot)
+		return
+	}
+	p := &part{msgs: h2.Messages{Max: maxMessage}}
+	p.s = s.h2.Open(head("GetFlightInfo", "250m"), h2.AppendMessage(nil, b))
+	p.s.User = p
+}
+
+// Room implements node.Session.
+func (s *session) Room() int { return s.h2.Room() }
+
+// Data implements node.Session.
+func (s *session) Data(b []byte) error { return s.h2.Receive(b) }
+
+// streams is the session as h2.Handler.
+type streams struct{ *session }
+
+// Headers implements h2.Handler.
+func (s streams) Headers(st *h2.Stream, fields []hpack.HeaderField, end bool) {
+	p, ok := st.User.(*part)
+	if !ok || p.ended {
+		return
+	}
+	status, given := h2.ParseStatus(fields)
+	switch {
+	case !end && h2.Get(fields, ":status") != "" && h2.Get(fields, ":status") != "200":
+		s.failed(p, decide.Failed)
+		st.Reset(http2.ErrCodeCancel)
+	case !end:
+	case !given:
+		s.failed(p, decide.Failed)
+	case status.Code != codes.OK:
+		s.failed(p, Outcome(status))
+	default:
+		s.served(p)
+	}
+}
+
+// Outcome maps a node's status to the module's outcome. Only a refusal, which
+// says when to come back, and a full queue prove that the part never ran.
+func Outcome(st h2.Status) decide.Outcome {
+	switch {
+	case st.Code == codes.OK:
+		return decide.OK
+	case st.Code == codes.Unavailable && st.Pushback > 0, st.Code == codes.ResourceExhausted:
+		return decide.Full
+	case st.Code == codes.DeadlineExceeded:
+		return decide.TimedOut
+	}
+	return decide.Failed
+}
+
+func (s *session) failed(p *part, o decide.Outcome) {
+	if p.ended {
+		return
+	}
+	p.ended, p.list = true, nil
+	if p.t == nil {
+		if o == decide.Failed {
+			o = decide.OK // an error is an answer, too: the node runs
+		}
+		s.l.Probed(o)
+		return
+	}
+	s.l.Done(p.t, o, 0, nil)
+}
+
+// served takes the part's value from a stream that ended with OK.
+func (s *session) served(p *part) {
+	if p.t == nil || p.msgs.Rest() {
+		s.failed(p, decide.Failed)
+		return
+	}
+	values, meta, err := columns.Decode(p.list)
+	if err != nil {
+		s.l.Complain(err.Error())
+		s.failed(p, decide.Failed)
+		return
+	}
+	var m struct {
+		Score float64 `json:"score"`
+	}
+	if len(meta) > 0 && json.Unmarshal(meta, &m) != nil {
+		m.Score = 0 // no score: the part comes last in the choice of the second step
+	}
+	for _, v := range values {
+		if v.Shard == p.t.Shard {
+			p.ended = true
+			s.l.Done(p.t, decide.OK, int64(max(math.MinInt64/2, min(math.MaxInt64/2, m.Score))), v.Body)
+			return
+		}
+	}
+	s.l.Complain("no row for slice " + strconv.Itoa(p.t.Shard))
+	s.failed(p, decide.Failed)
+}
+
+// Data implements h2.Handler.
+func (s streams) Data(st *h2.Stream, b []byte, end bool) {
+	p, ok := st.User.(*part)
+	if !ok || p.ended {
+		return
+	}
+	list, err := p.msgs.Add(b)
+	for _, m := range list {
+		p.bytes += len(m)
+	}
+	// Guards memory against an answer without end.
+	if err != nil || p.bytes > maxAnswer {
+		s.failed(p, decide.Failed)
+		st.Reset(http2.ErrCodeCancel)
+		return
+	}
+	p.list = append(p.list, list...)
+	if end { // without trailers, so without a status: cut
+		s.failed(p, decide.Failed)
+	}
+}
+
+// Closed implements h2.Handler.
+func (s streams) Closed(st *h2.Stream, _ http2.ErrCode, neverRan bool) {
+	if p, ok := st.User.(*part); ok {
+		if neverRan {
+			s.failed(p, decide.Full)
+		} else {
+			s.failed(p, decide.Failed)
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -1,17 +1,20 @@
-// Package node carries attempts to stock nodes that speak frames. All of it runs
+// Package node carries attempts to stock nodes: it holds the connections to them
+// and says what the end of one means for the attempts on it. What is said on a
+// connection is a Session's business; the one for frames is here. All of it runs
 // on the core's goroutine.
 package node
 
 import (
+	"math"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"kiteloft/decide"
 	"kiteloft/internal/broker"
-	"kiteloft/internal/frames"
 	"kiteloft/internal/transport"
 )
 
@@ -41,48 +44,70 @@
 	Dial(addr string, timeout time.Duration, h transport.Handler, done func(*transport.Conn, transport.End))
 }
 
+// Session is what is said on one connection.
+type Session interface {
+	// Send writes a call.
+	Send(call []*Ticket)
+	// GiveUp tells the node that a part is not waited for any more.
+	GiveUp(t *Ticket)
+	// Data takes what the node says; an error ends the connection.
+	Data(b []byte) error
+	// Probe checks the node; its result goes to Link.Probed.
+	Probe()
+	// Room is how many more parts the node lets us send.
+	Room() int
+	// Sent is the offset of the last byte of a ticket's call, and whether all of
+	// it was handed to the connection.
+	Sent(t *Ticket) (int64, bool)
+}
+
+// Protocol begins a session on a link that has come up.
+type Protocol func(l *Link) Session
+
 // Links holds the connections to all nodes. It implements broker.Nodes.
 type Links struct {
-	core  Core
-	net   Dialer
-	lim   Limits
-	log   zerolog.Logger
-	peers map[string]*peer // by id
+	core      Core
+	net       Dialer
+	lim       Limits
+	log       zerolog.Logger
+	protocols map[string]Protocol // by the scheme of the node's address
+	peers     map[string]*peer    // by id
 }
 
 type peer struct {
 	id, addr string
-	links    []*link
+	links    []*Link
 	listed   bool
 }
 
-// link is one connection, or one being opened.
-type link struct {
+// Link is one connection, or one being opened.
+type Link struct {
 	ls      *Links
 	peer    *peer
 	addr    string
 	conn    *transport.Conn // nil while it is being opened
+	session Session         // nil as long
 	ended   bool
-	parser  frames.Parser
-	waiting [][]*ticket              // calls that wait for the connection
-	out     map[string]*ticket       // by wire id
+	waiting [][]*Ticket              // calls that wait for the connection
+	out     map[string]*Ticket       // by wire id
 	gone    map[string]time.Duration // ids given up, and when: their result may still come
 	probes  []func(decide.Outcome)
 	used    time.Duration
 }
 
-// ticket is an attempt's place on a link.
-type ticket struct {
-	a      *broker.Attempt
-	id     string
-	link   *link
-	offset int64 // of the last byte of its frame
-	sent   bool
+// Ticket is an attempt's place on a link.
+type Ticket struct {
+	*broker.Attempt
+	ID   string // on the wire
+	User any    // the session's own
+	link *Link
+	sent bool // the session has it
 }
 
-// New returns Links without connections.
-func New(core Core, net Dialer, lim Limits, log zerolog.Logger) *Links {
-	return &Links{core: core, net: net, lim: lim, log: log, peers: map[string]*peer{}}
+// New returns Links without connections. Protocols are found by the scheme of a
+// node's address, "" where it has none.
+func New(core Core, net Dialer, lim Limits, protocols map[string]Protocol, log zerolog.Logger) *Links {
+	return &Links{core: core, net: net, lim: lim, log: log, protocols: protocols, peers: map[string]*peer{}}
 }
 
 // Start begins to look after idle connections.
@@ -110,10 +135,10 @@
 	ls.core.After(sweepPace, ls.sweep)
 }
 
-func (l *link) quiet() bool { return len(l.out) == 0 && len(l.probes) == 0 }
+func (l *Link) quiet() bool { return len(l.out) == 0 && len(l.probes) == 0 }
 
 // fresh tells whether a connection is far from being closed as idle.
-func (l *link) fresh() bool {
+func (l *Link) fresh() bool {
 	idle := l.ls.lim.ConnIdle
 	return idle <= 0 || l.ls.core.Now()-l.used < idle-time.Duration(idleMargin*float64(idle))-sweepPace
 }
@@ -149,54 +174,29 @@
 	return id
 }
 
-// list is the list of a part: how long it is waited for, and what its class and
-// step ask for.
-func list(a *broker.Attempt, left time.Duration) string {
-	b := append([]byte("d="), strconv.FormatInt(max(1, left.Milliseconds()), 10)...)
-	if a.Key != "" {
-		b = append(append(b, ",k="...), a.Key...)
-	}
-	if a.Second {
-		for i, s := range a.From {
-			if i == 0 {
-				b = append(b, ",from="...)
-			} else {
-				b = append(b, '+')
-			}
-			b = strconv.AppendInt(b, int64(s), 10)
-		}
-		if a.Whole {
-			b = append(b, ",whole=1"...)
-		} else {
-			b = append(b, ",whole=0"...)
-		}
-	}
-	return string(b)
-}
-
 // Send implements broker.Nodes.
 func (ls *Links) Send(n broker.Node, call []*broker.Attempt) {
 	call = slices.DeleteFunc(call, (*broker.Attempt).Over) // ended in the step that sent them
 	p := ls.peer(n)
 	for len(call) > 0 {
 		l := ls.find(p, call)
-		var batch []*ticket
+		var batch []*Ticket
 		for len(call) > 0 && (len(batch) == 0 || l.takes(call[:1])) {
-			t := &ticket{a: call[0], id: WireID(call[0]), link: l}
-			l.out[t.id], t.a.Link = t, t
+			t := &Ticket{Attempt: call[0], ID: WireID(call[0]), link: l}
+			l.out[t.ID], t.Link = t, t
 			batch, call = append(batch, t), call[1:]
 		}
-		if l.conn == nil {
+		if l.session == nil {
 			l.waiting = append(l.waiting, batch)
 		} else {
-			l.write(batch)
+			l.send(batch)
 		}
 	}
 }
 
 // find returns a connection that takes the call, or else its first part, or a
 // new one.
-func (ls *Links) find(p *peer, call []*broker.Attempt) *link {
+func (ls *Links) find(p *peer, call []*broker.Attempt) *Link {
 	for _, want := range [][]*broker.Attempt{call, call[:1]} {
 		for _, l := range p.links {
 			if l.addr == p.addr && (l.conn == nil || l.fresh() || !l.quiet()) && l.takes(want) {
@@ -209,8 +209,15 @@
 
 // takes tells whether the connection has room. An id that is out, or was given
 // up a moment ago, would make its results ambiguous there.
-func (l *link) takes(call []*broker.Attempt) bool {
-	if l.ended || l.ls.lim.StreamsPerConn > 0 && len(l.out)+len(call) > l.ls.lim.StreamsPerConn {
+func (l *Link) takes(call []*broker.Attempt) bool {
+	room := math.MaxInt
+	if l.ls.lim.StreamsPerConn > 0 {
+		room = l.ls.lim.StreamsPerConn - len(l.out)
+	}
+	if l.session != nil {
+		room = min(room, l.session.Room())
+	}
+	if l.ended || len(call) > room {
 		return false
 	}
 	for _, a := range call {
@@ -222,57 +229,68 @@
 	return true
 }
 
-func (ls *Links) open(p *peer) *link {
-	l := &link{ls: ls, peer: p, addr: p.addr, out: map[string]*ticket{}, gone: map[string]time.Duration{},
+func (ls *Links) open(p *peer) *Link {
+	l := &Link{ls: ls, peer: p, addr: p.addr, out: map[string]*Ticket{}, gone: map[string]time.Duration{},
 		used: ls.core.Now()}
 	p.links = append(p.links, l)
-	ls.net.Dial(p.addr, ls.lim.ConnectTimeout, l, l.dialed)
+	_, hostPort := l.scheme()
+	ls.net.Dial(hostPort, ls.lim.ConnectTimeout, l, l.dialed)
 	return l
 }
 
-func (l *link) dialed(c *transport.Conn, e transport.End) {
-	if c == nil {
+// scheme cuts an address into its scheme, if it has one, and the rest.
+func (l *Link) scheme() (scheme, hostPort string) {
+	if s, rest, ok := strings.Cut(l.addr, "://"); ok {
+		return s, rest
+	}
+	return "", l.addr
+}
+
+func (l *Link) dialed(c *transport.Conn, e transport.End) {
+	scheme, _ := l.scheme()
+	protocol := l.ls.protocols[scheme]
+	if c == nil || protocol == nil {
+		if c != nil { // a node that speaks what we don't
+			l.ls.log.Warn().Str("node", l.peer.id).Str("address", l.addr).Msg("node has an address of an unknown kind")
+			l.conn = c
+			c.Close(transport.BadInput)
+			return
+		}
 		l.Ended(e)
 		return
 	}
 	l.conn, l.used = c, l.ls.core.Now()
+	l.session = protocol(l)
 	for _, batch := range l.waiting {
-		l.write(batch)
+		l.send(slices.DeleteFunc(batch, func(t *Ticket) bool { return t.Over() })) // given up meanwhile
 	}
 	l.waiting = nil
 	for range l.probes {
-		c.Write(frames.Append(nil, frames.Probe, nil))
+		l.session.Probe()
 	}
 }
 
-// write sends one call, less what was given up while it waited.
-func (l *link) write(batch []*ticket) {
-	var parts []frames.Part
-	for _, t := range batch {
-		if left := t.a.Left(l.ls.core.Now()); !t.a.Over() {
-			parts = append(parts, frames.Part{ID: t.id, Shard: t.a.Shard, List: list(t.a, left), Text: t.a.Text})
-		}
-	}
-	if len(parts) == 0 {
+func (l *Link) send(batch []*Ticket) {
+	if len(batch) == 0 {
 		return
 	}
-	end := l.conn.Write(frames.AppendCall(nil, parts))
 	for _, t := range batch {
-		t.offset, t.sent = end, !t.a.Over()
+		t.sent = true
 	}
 	l.used = l.ls.core.Now()
+	l.session.Send(batch)
 }
 
 // GiveUp implements broker.Nodes.
 func (ls *Links) GiveUp(a *broker.Attempt) {
-	t, ok := a.Link.(*ticket)
-	if !ok || t.link.out[t.id] != t {
+	t, ok := a.Link.(*Ticket)
+	if !ok || t.link.out[t.ID] != t {
 		return
 	}
-	delete(t.link.out, t.id)
+	delete(t.link.out, t.ID)
 	if t.sent {
-		t.link.gone[t.id] = ls.core.Now()
-		t.link.conn.Write(frames.Append(nil, frames.GiveUp, []byte(t.id)))
+		t.link.gone[t.ID] = ls.core.Now()
+		t.link.session.GiveUp(t)
 	}
 }
 
@@ -291,7 +309,7 @@
 // Probe implements broker.Nodes.
 func (ls *Links) Probe(n broker.Node, done func(decide.Outcome)) {
 	p := ls.peer(n)
-	var l *link
+	var l *Link
 	for _, have := range p.links {
 		if !have.ended && have.addr == p.addr {
 			l = have
@@ -309,90 +327,87 @@
 	}
 	l.probes = append(l.probes, once)
 	ls.core.After(probeTimeout, func() { once(decide.TimedOut) })
-	if l.conn != nil {
-		l.conn.Write(frames.Append(nil, frames.Probe, nil))
+	if l.session != nil {
+		l.session.Probe()
 	}
 }
 
-// Data implements transport.Handler.
-func (l *link) Data(b []byte) {
-	l.used = l.ls.core.Now()
-	l.parser.Write(b)
-	for {
-		f, ok, err := l.parser.Next()
-		if err == nil && ok {
-			err = l.take(f)
-		}
-		if err != nil {
-			l.ls.log.Warn().Str("node", l.peer.id).Err(err).Msg("node sent what can't be used")
-			l.conn.Close(transport.BadInput)
-			return
-		}
-		if !ok {
-			return
-		}
+// ---- for sessions ----
+
+// Write sends bytes; it returns the offset of the last one.
+func (l *Link) Write(b []byte) int64 { return l.conn.Write(b) }
+
+// Left is how long a ticket will still be waited for.
+func (l *Link) Left(t *Ticket) time.Duration { return t.Attempt.Left(l.ls.core.Now()) }
+
+// Ticket finds what is out by its id. An id that is not out was given up, and
+// what comes for it is dropped.
+func (l *Link) Ticket(id string) *Ticket {
+	t := l.out[id]
+	if t == nil {
+		delete(l.gone, id)
 	}
+	return t
 }
 
-func (l *link) take(f frames.Frame) error {
-	switch f.Letter {
-	case frames.Result:
-		r, err := frames.ParseReply(f.Rest)
-		if err != nil {
-			return err
-		}
-		t := l.out[r.ID]
-		if t == nil {
-			delete(l.gone, r.ID) // late: the attempt has ended
-			return nil
-		}
-		delete(l.out, r.ID)
-		l.ls.core.Ended(t.a, outcome(r.End), r.Score, r.Value)
-	case frames.Probe:
-		if len(l.probes) > 0 {
-			done := l.probes[0]
-			l.probes = l.probes[1:]
-			o := decide.Failed
-			if string(f.Rest) == "S" {
-				o = decide.OK
-			}
-			done(o)
-		}
-	case frames.Refusal:
-		l.ls.log.Warn().Str("node", l.peer.id).Bytes("words", f.Rest[:min(len(f.Rest), 200)]).
-			Msg("node could not use a frame")
+// Done ends a ticket with the node's word.
+func (l *Link) Done(t *Ticket, o decide.Outcome, score int64, value []byte) {
+	if l.out[t.ID] == t {
+		delete(l.out, t.ID)
+		l.ls.core.Ended(t.Attempt, o, score, value)
 	}
-	return nil
 }
 
-func outcome(end byte) decide.Outcome {
-	switch end {
-	case 'S':
-		return decide.OK
-	case 'B':
-		return decide.Full
+// Probed ends the oldest probe.
+func (l *Link) Probed(o decide.Outcome) {
+	if len(l.probes) > 0 {
+		done := l.probes[0]
+		l.probes = l.probes[1:]
+		done(o)
+	}
+}
+
+// Complain logs what a node says of us, or can't mean.
+func (l *Link) Complain(words string) {
+	l.ls.log.Warn().Str("node", l.peer.id).Str("words", words[:min(len(words), 200)]).Msg("node could not use a frame")
+}
+
+// ---- for the transport ----
+
+// Data implements transport.Handler.
+func (l *Link) Data(b []byte) {
+	l.used = l.ls.core.Now()
+	if err := l.session.Data(b); err != nil {
+		l.ls.log.Warn().Str("node", l.peer.id).Err(err).Msg("node sent what can't be used")
+		l.conn.Close(transport.BadInput)
 	}
-	return decide.Failed
 }
 
 // HalfClosed implements transport.Handler; connections we dialed end at once.
-func (l *link) HalfClosed() {}
+func (l *Link) HalfClosed() {}
 
-// Ended implements transport.Handler: it ends every attempt on the connection.
-func (l *link) Ended(e transport.End) {
+// Ended implements transport.Handler: it ends every attempt on the connection,
+// by whether the last byte of its call was written.
+func (l *Link) Ended(e transport.End) {
 	l.ended = true
-	l.peer.links = slices.DeleteFunc(l.peer.links, func(o *link) bool { return o == l })
+	l.peer.links = slices.DeleteFunc(l.peer.links, func(o *Link) bool { return o == l })
 	if len(l.out) > 0 {
 		l.ls.log.Info().Str("node", l.peer.id).Stringer("end", e).Int("attempts", len(l.out)).
 			Msg("node connection ended with attempts out")
 	}
-	tickets := make([]*ticket, 0, len(l.out))
+	tickets := make([]*Ticket, 0, len(l.out))
 	for _, t := range l.out {
 		tickets = append(tickets, t)
 	}
+	slices.SortFunc(tickets, func(a, b *Ticket) int { return strings.Compare(a.ID, b.ID) })
 	clear(l.out)
 	for _, t := range tickets {
-		l.ls.core.Ended(t.a, transport.Outcome(e, t.sent && l.conn.Written(t.offset)), 0, nil)
+		written := false
+		if t.sent {
+			at, all := l.session.Sent(t)
+			written = all && l.conn.Written(at)
+		}
+		l.ls.core.Ended(t.Attempt, transport.Outcome(e, written), 0, nil)
 	}
 	for _, done := range l.probes {
 		done(transport.Outcome(e, l.conn != nil))
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -173,7 +173,7 @@
 	c.mu.Lock()
 	c.queued += int64(len(b))
 	end := c.queued
-	if c.closed || c.end != Open {
+	if c.closed || c.end != Open || len(b) == 0 {
 		c.mu.Unlock()
 		return end
 	}
