--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+.PHONY: build test race lint run fuzz
+
+build:
+	mkdir -p bin && go build -o bin/ ./cmd/...
+
+test:
+	go test ./...
+
+race:
+	go test -race ./...
+
+lint:
+	gofmt -l .
+	go vet ./...
+	go tool staticcheck ./...
+
+# Needs LB_CONFIG, as DEPLOY describes it.
+run: build
+	exec bin/kiteloft
+
+# Each parser for a while.
+fuzz:
+	go test ./internal/http1 -fuzz FuzzParser -fuzztime 20s
+	go test ./internal/frames -fuzz FuzzParser -fuzztime 20s
+	go test ./internal/h2 -fuzz FuzzReceive -fuzztime 20s
+	go test ./internal/columns -fuzz FuzzDecode -fuzztime 20s
--- /dev/null
+++ b/cmd/kiteloft/race_off_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package main
+
+var buildFlags []string
--- /dev/null
+++ b/cmd/kiteloft/race_on_test.go
@@ -0,0 +1,6 @@
+//go:build race
+
+package main
+
+// buildFlags make the program under test look for races when its tests do.
+var buildFlags = []string{"-race"}
--- a/internal/front/flight/flight.go
+++ b/internal/front/flight/flight.go
@@ -39,6 +39,7 @@
 	callTime   = 10 * time.Second // a call's message must be whole within it
 	readTime   = 5 * time.Second  // an answer must be taken within it
 	sweepPace  = 250 * time.Millisecond
+	resetWait  = 20 * time.Millisecond // by when a client that has closed answers a ping with a reset
 )
 
 // Core is what this package needs of the core.
@@ -53,6 +54,7 @@
 	Write(b []byte) int64
 	Close(e transport.End)
 	Idle() bool
+	Gone() bool
 }
 
 // Front serves Flight clients.
@@ -343,11 +345,21 @@
 	}
 }
 
-// HalfClosed implements transport.Handler. Nothing can come for open streams'
-// windows any more, so what is open is answered and that is all.
+// HalfClosed implements transport.Handler: the client sends no more. What is
+// open is still owed an answer if the client has only shut down its side; a ping
+// makes one that has closed reset.
 func (c *client) HalfClosed() {
 	if c.half = true; c.h2 == nil || c.h2.Streams() == 0 {
 		c.conn.Close(transport.LocalDone)
+		return
+	}
+	c.h2.Ping()
+	c.f.core.After(resetWait, c.checkGone)
+}
+
+func (c *client) checkGone() {
+	if c.half && c.conn.Gone() {
+		c.conn.Close(transport.PeerReset)
 	}
 }
 
@@ -363,6 +375,7 @@
 func (f *Front) sweep() {
 	now := f.core.Now()
 	for c := range f.clients {
+		c.checkGone()
 		for k := range c.calls {
 			switch {
 			case k.done && !k.s.Open():
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -24,6 +24,8 @@
 	headTime    = 10 * time.Second                // a request that has begun must be whole within it
 	sweepPace   = 250 * time.Millisecond
 	drainQuiet  = 100 * time.Millisecond // how long a connection rests before it is closed at the end
+	resetWait   = 20 * time.Millisecond  // by when a client that has closed answers the first bytes with a reset
+	version     = "HTTP/1.1 "            // what every response begins with
 )
 
 // Core is what this package needs of the core.
@@ -71,6 +73,7 @@
 	parser  *http1.Parser
 	open    *request // the one that is being answered
 	half    bool     // the client sends nothing more
+	begins  bool     // the next response's version has been sent already
 	closing bool
 	rest    time.Duration // since when nothing is open
 	begun   time.Duration // when the request that is coming in began; 0: none is
@@ -253,7 +256,7 @@
 
 func (c *client) reply(status int, kind string, body []byte, after time.Duration, closes bool) {
 	closes = closes || c.f.closing || c.half && !c.parser.Started()
-	c.conn.Write(append(head(status, kind, len(body), after, closes), body...))
+	c.write(append(head(status, kind, len(body), after, closes), body...))
 	c.rest = c.f.core.Now()
 	if closes {
 		c.end()
@@ -262,19 +265,26 @@
 
 func (c *client) replyHead(status int, kind string, length int, after time.Duration, closes bool) {
 	closes = closes || c.f.closing
-	c.conn.Write(head(status, kind, length, after, closes))
+	c.write(head(status, kind, length, after, closes))
 	if closes {
 		c.end()
 	}
 }
 
+func (c *client) write(response []byte) {
+	if c.begins {
+		c.begins, response = false, response[len(version):]
+	}
+	c.conn.Write(response)
+}
+
 var reasons = map[int]string{200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
 	413: "Content Too Large", 431: "Request Header Fields Too Large", 500: "Internal Server Error",
 	501: "Not Implemented", 503: "Service Unavailable",
 	504: "Gateway Timeout"}
 
 func head(status int, kind string, length int, after time.Duration, closes bool) []byte {
-	b := append([]byte("HTTP/1.1 "), strconv.Itoa(status)...)
+	b := append([]byte(version), strconv.Itoa(status)...)
 	b = append(append(b, ' '), reasons[status]...)
 	b = append(append(b, "\r\nContent-Type: "...), kind...)
 	b = append(b, "\r\nContent-Length: "...)
@@ -297,12 +307,24 @@
 	}
 }
 
-// HalfClosed implements transport.Handler: the client sends no more, but its
-// open request is still owed an answer.
+// HalfClosed implements transport.Handler: the client sends no more. If it has
+// only shut down its side, its open request is still owed an answer; if it has
+// closed, nobody waits. TCP tells the one from the other only when something is
+// sent, so the answer is begun: a client that has closed resets.
 func (c *client) HalfClosed() {
 	c.half = true
 	if c.open == nil {
 		c.end()
+		return
+	}
+	c.begins = true
+	c.conn.Write([]byte(version))
+	c.f.core.After(resetWait, c.checkGone)
+}
+
+func (c *client) checkGone() {
+	if c.half && c.conn.Gone() {
+		c.conn.Close(transport.PeerReset)
 	}
 }
 
@@ -320,9 +342,8 @@
 func (f *Front) sweep() {
 	now := f.core.Now()
 	for c := range f.clients {
+		c.checkGone()
 		switch {
-		case c.half && c.conn.Gone():
-			c.conn.Close(transport.PeerReset)
 		case c.closing:
 			c.end()
 		case c.open == nil && c.begun > 0 && now-c.begun > headTime:
--- a/internal/h2/conn.go
+++ b/internal/h2/conn.go
@@ -423,6 +423,12 @@
 	}
 }
 
+// Ping sends a ping, whose answer means nothing to us.
+func (c *Conn) Ping() {
+	_ = c.fr.WritePing(false, [8]byte{})
+	c.flush()
+}
+
 // Open begins a stream. The caller has looked at Room.
 func (c *Conn) Open(fields []hpack.HeaderField, data []byte) *Stream {
 	s := c.add(c.nextID)
