Check forged lengths in Arrow messages before the library makes room for them

Seen by FuzzDecode: a node's schema message of 200 bytes made arrow-go ask for 100 GB (ipc schemaFromFB makes a slice of the claimed length). A recover does not help against that. The claims are now checked against the bytes that are there; compressed batches, whose length is a claim too, are not taken.

--- a/internal/columns/columns.go
+++ b/internal/columns/columns.go
@@ -18,6 +18,8 @@
 	"kiteloft/internal/broker"
 )
 
+const maxRows = 4096
+
 // Schema is that of every batch: a part's slice, and the value that its node gave.
 var Schema = arrow.NewSchema([]arrow.Field{
 	{Name: "slice", Type: arrow.PrimitiveTypes.Int32},
@@ -103,6 +105,9 @@
 			s.meta = d.AppMetadata
 		}
 		if len(d.DataHeader) > 0 { // others carry metadata alone
+			if err := verify(d.DataHeader); err != nil {
+				return nil, err
+			}
 			s.last = ipc.NewMessage(memory.NewBufferBytes(d.DataHeader), memory.NewBufferBytes(d.DataBody))
 			return s.last, nil
 		}
@@ -130,6 +135,9 @@
 	}
 	for r.Next() {
 		batch := r.RecordBatch()
+		if batch.NumRows() > maxRows {
+			return nil, nil, errors.New("more rows than a node has parts")
+		}
 		slices, bodies := batch.Column(0).(*array.Int32), batch.Column(1).(*array.Binary)
 		for i := range int(batch.NumRows()) {
 			if slices.IsNull(i) || bodies.IsNull(i) {
