--- a/cmd/kiteloft/bed_test.go
+++ b/cmd/kiteloft/bed_test.go
@@ -156,6 +156,7 @@
 type bed struct {
 	nodes          []*standIn
 	listen, flight string
+	collector      string // "": flows are not exported
 	cmd            *exec.Cmd
 	exit           chan error
 
@@ -210,7 +211,7 @@
 		}
 		return path
 	}
-	write("deploy/broker.toml", "[flight]\nlisten = \"127.0.0.1:0\"\n")
+	write("deploy/broker.toml", "[flight]\nlisten = \"127.0.0.1:0\"\n[ipfix]\ncollector = \""+b.collector+"\"\n")
 	b.cmd = exec.Command(program)
 	b.cmd.Dir = dir
 	b.cmd.Env = append(os.Environ(), "LB_CONFIG="+write("config.json", config))
--- a/cmd/kiteloft/main.go
+++ b/cmd/kiteloft/main.go
@@ -19,6 +19,7 @@
 	"kiteloft/internal/discovery"
 	"kiteloft/internal/front/flight"
 	"kiteloft/internal/front/platform"
+	"kiteloft/internal/ipfix"
 	"kiteloft/internal/node"
 	nodeflight "kiteloft/internal/node/flight"
 	"kiteloft/internal/transport"
@@ -33,6 +34,7 @@
 	memoryShare = 0.7                    // share of the memory limit at which the collector works harder
 	acceptOn    = 500 * time.Millisecond // how long new connections are taken after SIGTERM; 0.4 s are asked for
 	lingerOn    = 300 * time.Millisecond // how long clients get to take their last answer
+	lastWrites  = 20 * time.Millisecond  // for the last flow records to leave
 )
 
 func main() {
@@ -65,7 +67,13 @@
 	clock := func() time.Duration { return clockStart + time.Since(started) }
 	set := cfg.Settings
 	core := broker.New(set, decide.New(set.Module, cfg.Seed), clock, coreLog{log})
-	net := transport.NewNet(core, cfg.Sockets-ownFiles, nil)
+	var flows *ipfix.Exporter
+	ended := func(transport.Stats) {}
+	if cfg.IPFIXCollector != "" {
+		flows = ipfix.NewExporter(core, transport.NewNet(core, 1, nil), cfg.IPFIXCollector, cfg.Name, log)
+		ended = flows.Add
+	}
+	net := transport.NewNet(core, cfg.Sockets-ownFiles, ended)
 	links := node.New(core, net, node.Limits{ConnectTimeout: set.ConnectTimeout, ConnIdle: set.ConnIdle,
 		StreamsPerConn: set.StreamsPerConn}, map[string]node.Protocol{"": node.Frames, nodeflight.Scheme: nodeflight.Protocol}, log)
 	dir := discovery.New(core, net, cfg.Discovery, set.Zones, started.Add(-clockStart), log)
@@ -92,6 +100,9 @@
 		if columns != nil {
 			columns.Start()
 		}
+		if flows != nil {
+			flows.Start()
+		}
 		links.Start()
 		dir.Take(cfg.Known)
 		front.Ready()
@@ -115,7 +126,16 @@
 				if columns != nil {
 					columns.Stop()
 				}
-				core.After(lingerOn, func() { core.Stop(func() { core.After(lingerOn, func() { close(stop) }) }) })
+				core.After(lingerOn, func() {
+					core.Stop(func() {
+						core.After(lingerOn, func() {
+							if flows != nil {
+								flows.Flush()
+							}
+							core.After(lastWrites, func() { close(stop) })
+						})
+					})
+				})
 			})
 		})
 	}()
--- /dev/null
+++ b/internal/broker/broker_test.go
@@ -0,0 +1,291 @@
+package broker
+
+import (
+	"os/exec"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"kiteloft/decide"
+	"kiteloft/internal/settings"
+)
+
+// TestCoreKnowsNoWire keeps wires and sockets out of the core, also by way of
+// what it imports.
+func TestCoreKnowsNoWire(t *testing.T) {
+	out, err := exec.Command("go", "list", "-deps", ".").Output()
+	if err != nil {
+		t.Fatal(err)
+	}
+	own := map[string]bool{"kiteloft/decide": true, "kiteloft/internal/settings": true, "kiteloft/internal/broker": true}
+	for _, dep := range strings.Fields(string(out)) {
+		switch {
+		case strings.HasPrefix(dep, "kiteloft/") && !own[dep],
+			dep == "net", strings.HasPrefix(dep, "net/"), strings.Contains(dep, "netpoll"), strings.Contains(dep, "x/net"),
+			strings.Contains(dep, "arrow"), strings.Contains(dep, "grpc"):
+			t.Errorf("the core depends on %s", dep)
+		}
+	}
+}
+
+// script is a module that does as it is told, step by step.
+type script struct {
+	steps  [][]decide.Action
+	events []decide.Event
+}
+
+func (s *script) Step(_ time.Duration, events []decide.Event) []decide.Action {
+	s.events = append(s.events, events...)
+	if len(s.steps) == 0 {
+		return nil
+	}
+	next := s.steps[0]
+	s.steps = s.steps[1:]
+	return next
+}
+
+// done are the outcomes that the module was told of.
+func (s *script) done() (list []decide.Outcome) {
+	for _, e := range s.events {
+		if d, ok := e.(decide.AttemptDone); ok {
+			list = append(list, d.Outcome)
+		}
+	}
+	return list
+}
+
+// stage is a core with everything round it.
+type stage struct {
+	*Core
+	script
+	now     time.Duration
+	calls   [][]*Attempt
+	givenUp int
+	guards  []string
+	answers []string
+}
+
+func (s *stage) Send(_ Node, call []*Attempt)     { s.calls = append(s.calls, call) }
+func (s *stage) GiveUp(*Attempt)                  { s.givenUp++ }
+func (s *stage) Probe(Node, func(decide.Outcome)) {}
+func (s *stage) CloseIdle(Node)                   {}
+func (s *stage) Known([]Node)                     {}
+func (s *stage) Watch(bool)                       {}
+func (s *stage) Read()                            {}
+func (s *stage) Module(string)                    {}
+func (s *stage) Guard(rule, _, _ string)          { s.guards = append(s.guards, rule) }
+func (s *stage) Refused(time.Duration)            { s.answers = append(s.answers, "refused") }
+func (s *stage) Served(whole bool, values []Value) {
+	text := "served"
+	if whole {
+		text = "whole"
+	}
+	for _, v := range values {
+		text += " " + string(v.Body)
+	}
+	s.answers = append(s.answers, text)
+}
+func (s *stage) Failed(expired bool) {
+	if expired {
+		s.answers = append(s.answers, "expired")
+	} else {
+		s.answers = append(s.answers, "failed")
+	}
+}
+
+// at moves the clock and gives the core a turn.
+func (s *stage) at(d time.Duration) {
+	s.now = time.Hour + d
+	s.turn()
+}
+
+const tick = 5 * time.Millisecond
+
+// play is a core with one query of two parts taken, whose module acts out steps.
+func play(t *testing.T, steps ...[]decide.Action) *stage {
+	t.Helper()
+	s := &stage{script: script{steps: steps}}
+	set := settings.Settings{Shards: 8, Module: decide.Settings{Tick: tick, Cells: 2, Span: 1, PartsPerCall: 8, MaxOpen: 10,
+		MaxAttempts: 2, Classes: []decide.Class{{Name: "a", Need: 1, Floor: 1}, {Name: "b", Need: 1, Floor: 0.5, FollowParts: 1},
+			{Name: "c", Semantics: decide.Once}}}}
+	s.Core = New(set, &s.script, func() time.Duration { return s.now }, s)
+	s.Use(s, s)
+	s.Post(func() {
+		s.Listed(true, 1, []Member{{Server: decide.Server{ID: "n0", Cell: 0}, Addr: "x"}, {Server: decide.Server{ID: "n1", Cell: 1}, Addr: "y"}})
+	})
+	return s
+}
+
+func (s *stage) ask(t *testing.T, class int) *Handle {
+	t.Helper()
+	var h *Handle
+	s.Post(func() {
+		var v Verdict
+		v, h = s.Take(Query{WireID: "w", Class: class, Left: time.Second, Answerer: s,
+			Parts: []QueryPart{{Shard: 0, Weight: 0.5}, {Shard: 2, Weight: 0.5}}})
+		if v != Taken {
+			t.Errorf("verdict %v", v)
+		}
+	})
+	s.at(0)
+	return h
+}
+
+func send(part string) decide.Action { return decide.Send{Part: part, Server: "n0"} }
+
+func TestSendsOfAStepShareACall(t *testing.T) {
+	s := play(t, []decide.Action{send("q1.0"), send("q1.2")}, []decide.Action{decide.Answer{Query: "q1", Whole: true}})
+	s.ask(t, 0)
+	if len(s.calls) != 1 || len(s.calls[0]) != 2 {
+		t.Fatalf("calls %v", s.calls)
+	}
+	for i, a := range s.calls[0] {
+		s.Post(func() { s.Ended(a, decide.OK, 0, []byte{'a' + byte(i)}) })
+	}
+	s.at(tick / 2)
+	if len(s.answers) != 0 {
+		t.Error("a step within a tick of the last")
+	}
+	s.at(tick)
+	if diff := cmp.Diff([]string{"whole a b"}, s.answers); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestGuards(t *testing.T) {
+	served := func(s *stage, n int) {
+		for _, a := range s.calls[0][:n] {
+			s.Ended(a, decide.OK, 0, []byte("v"))
+		}
+	}
+	both := []decide.Action{send("q1.0"), send("q1.2")}
+	tests := []struct {
+		name    string
+		class   int
+		steps   [][]decide.Action
+		in      int
+		until   time.Duration
+		answers []string
+		guards  []string
+	}{
+		{"a module that never answers", 0, [][]decide.Action{both}, 1, time.Second, []string{"expired"}, []string{"one-answer"}},
+		{"a module that answers twice", 0, [][]decide.Action{both, {decide.Answer{Query: "q1", Whole: true}, decide.Fail{Query: "q1"}}},
+			2, tick, []string{"whole v v"}, nil},
+		{"an answer from too little", 0, [][]decide.Action{both, {decide.Answer{Query: "q1", Whole: true}}},
+			1, tick, []string{"failed"}, []string{"honest"}},
+		{"a refusal of what may have run", 2, [][]decide.Action{both, {decide.Refuse{Query: "q1"}}},
+			1, tick, []string{"failed"}, []string{"refusal"}},
+		{"a refusal of what may run twice", 0, [][]decide.Action{both, {decide.Refuse{Query: "q1"}}},
+			1, tick, []string{"refused"}, nil},
+		{"a part to a node without its shard", 0, [][]decide.Action{{decide.Send{Part: "q1.0", Server: "n1"}, send("q1.0"), send("q1.2")}},
+			0, time.Second, []string{"expired"}, []string{"holders", "one-answer"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := play(t, tt.steps...)
+			s.ask(t, tt.class)
+			s.Post(func() { served(s, tt.in) })
+			for d := tick; d <= tt.until; d += tick {
+				s.at(d)
+			}
+			if diff := cmp.Diff(tt.answers, s.answers); diff != "" {
+				t.Error(diff)
+			}
+			if diff := cmp.Diff(tt.guards, s.guards); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+func TestEverySendGetsOneOutcome(t *testing.T) {
+	s := play(t, []decide.Action{send("q1.0"), send("q1.0"), send("q1.0"), send("q1.2"), send("q9.9")},
+		[]decide.Action{decide.Cancel{Part: "q1.0", Attempt: 0}, decide.Cancel{Part: "q1.0", Attempt: 0}}, []decide.Action{decide.Wake{After: tick, Token: "w"}},
+		[]decide.Action{decide.Fail{Query: "q1"}, send("q1.2")})
+	s.ask(t, 0)
+	late := s.calls[0][0]
+	for d := tick; d < 6*tick; d += tick {
+		s.at(d)
+		s.Post(func() { s.Ended(late, decide.OK, 0, []byte("late")) })
+	}
+	// Two sends too many for the part, one of an unknown part, one cancelled; then
+	// the query's end cancels the rest, and one send comes after it.
+	want := []decide.Outcome{decide.Moot, decide.Moot, decide.Cancelled, decide.Cancelled, decide.Cancelled, decide.Moot}
+	if diff := cmp.Diff(want, s.done()); diff != "" || s.givenUp != 3 {
+		t.Errorf("%s; %d given up", diff, s.givenUp)
+	}
+	if diff := cmp.Diff([]string{"failed"}, s.answers); diff != "" || s.Held() != 0 || len(s.parts) != 0 {
+		t.Errorf("%s; %d held, %d parts kept", diff, s.Held(), len(s.parts))
+	}
+}
+
+func TestAttemptsTimeOut(t *testing.T) {
+	s := play(t, []decide.Action{decide.Send{Part: "q1.0", Server: "n0", StopAt: time.Hour + 100*time.Millisecond}})
+	s.ask(t, 0)
+	s.at(100 * time.Millisecond)
+	if diff := cmp.Diff([]decide.Outcome{decide.TimedOut}, s.done()); diff != "" || s.givenUp != 1 {
+		t.Errorf("%s; %d given up", diff, s.givenUp)
+	}
+}
+
+func TestTheSecondStepAndItsHonesty(t *testing.T) {
+	s := play(t, []decide.Action{send("q1.0"), send("q1.2")}, []decide.Action{decide.Answer{Query: "q1", Whole: false}},
+		[]decide.Action{send("q1.2b")}, []decide.Action{decide.Answer{Query: "q1", Whole: true}})
+	s.ask(t, 1)
+	s.Post(func() {
+		s.Ended(s.calls[0][0], decide.OK, 5, []byte("low"))
+		s.Ended(s.calls[0][1], decide.OK, 7, []byte("high"))
+	})
+	s.at(tick)
+	s.at(2 * tick)
+	a := s.calls[1][0]
+	if diff := cmp.Diff([]int{0, 2}, a.From); diff != "" || a.Shard != 2 || !a.Second || a.Whole {
+		t.Fatalf("second step's attempt %+v", a)
+	}
+	s.Post(func() { s.Ended(a, decide.OK, 0, []byte("second")) })
+	s.at(3 * tick)
+	if diff := cmp.Diff([]string{"served second"}, s.answers); diff != "" {
+		t.Error(diff) // the first step was not whole, so the answer may not be
+	}
+}
+
+func TestTakeTurnsAway(t *testing.T) {
+	s := play(t)
+	s.ask(t, 0)
+	one := []QueryPart{{Shard: 0, Weight: 1}}
+	many := make([]QueryPart, 7)
+	for i := range many {
+		many[i] = QueryPart{Shard: i, Weight: 0.1}
+	}
+	for name, tt := range map[string]struct {
+		q    Query
+		want Verdict
+	}{
+		"the same id":      {Query{WireID: "w", Left: 1, Parts: one}, Duplicate},
+		"too much open":    {Query{WireID: "x", Left: 1, Parts: many}, Crowded},
+		"no parts":         {Query{WireID: "x", Left: 1}, Misplaced},
+		"a shard too high": {Query{WireID: "x", Left: 1, Parts: []QueryPart{{Shard: 8, Weight: 1}}}, Misplaced},
+		"a part twice":     {Query{WireID: "x", Left: 1, Parts: append(one, one...)}, Misplaced},
+		"no time":          {Query{WireID: "x", Parts: one}, Misplaced},
+		"no class":         {Query{WireID: "x", Left: 1, Class: 9, Parts: one}, Misplaced},
+	} {
+		if got, _ := s.Take(tt.q); got != tt.want {
+			t.Errorf("%s: verdict %v, want %v", name, got, tt.want)
+		}
+	}
+}
+
+func TestAClientThatLeavesGetsNoAnswer(t *testing.T) {
+	s := play(t, []decide.Action{send("q1.0"), send("q1.2")})
+	h := s.ask(t, 0)
+	s.Post(h.ClientGone)
+	s.Post(h.ClientGone)
+	for d := tick; d <= time.Second; d += tick {
+		s.at(d)
+	}
+	if len(s.answers) != 0 || s.givenUp != 2 || s.Held() != 0 {
+		t.Errorf("answers %v, %d given up, %d held", s.answers, s.givenUp, s.Held())
+	}
+}
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,81 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const sound = `{"name":"n3","listen":"127.0.0.1:8000","discovery":"127.0.0.1:8500","seed":"8c1f30d27a5be964",
+"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
+"known":{"revision":41,"complete":true,"members":[{"id":"s-1","host_port":"127.0.0.1:9","phase":"active"}]},
+"settings":{"classes":[{"name":"a","semantics":"once"}]}}`
+
+func load(t *testing.T, text, toml string, env map[string]string) (Config, error) {
+	t.Helper()
+	dir := t.TempDir()
+	path := filepath.Join(dir, "config.json")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	own := filepath.Join(dir, "broker.toml")
+	if toml != "" {
+		if err := os.WriteFile(own, []byte(toml), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return Load(func(key string) string {
+		if key == "LB_CONFIG" {
+			return path
+		}
+		return env[key]
+	}, own)
+}
+
+func TestASoundConfiguration(t *testing.T) {
+	c, err := load(t, sound, "[flight]\nlisten = \"127.0.0.1:8815\"\n", map[string]string{"LB_NAME": "n4"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.Name != "n4" || c.Listen != "127.0.0.1:8000" || c.Seed != 0x8c1f30d27a5be964 || c.MemoryMB != 192 || c.Sockets != 1024 ||
+		c.Known.Revision != 41 || len(c.Known.Members) != 1 || c.FlightListen != "127.0.0.1:8815" || c.IPFIXCollector != "" {
+		t.Errorf("%+v", c)
+	}
+	c, err = load(t, strings.Replace(sound, `"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},`, "", 1), "", nil)
+	if err != nil || c.MemoryMB != defaultMemoryMB || c.Sockets != defaultSockets || c.FlightListen != "" {
+		t.Errorf("defaults %+v, error %v", c, err)
+	}
+}
+
+func TestErrorsNameTheKey(t *testing.T) {
+	replace := func(old, new string) string { return strings.Replace(sound, old, new, 1) }
+	tests := []struct {
+		key, text, toml string
+		env             map[string]string
+	}{
+		{"LB_CONFIG", "{", "", nil},
+		{"LB_NAME", replace(`"n3"`, `""`), "", nil},
+		{"LB_LISTEN", replace("127.0.0.1:8000", "localhost:8000"), "", nil},
+		{"LB_LISTEN", sound, "", map[string]string{"LB_LISTEN": "127.0.0.1"}},
+		{"LB_DISCOVERY", replace("127.0.0.1:8500", ""), "", nil},
+		{"seed", replace("8c1f30d27a5be964", "xyz"), "", nil},
+		{"limits.memory_mb", replace("192", "2"), "", nil},
+		{"limits.sockets", replace("1024", "-5"), "", nil},
+		{"settings", replace(`"settings"`, `"other"`), "", nil},
+		{"settings.classes", replace(`{"name":"a","semantics":"once"}`, ""), "", nil},
+		{"settings: class 0", replace("once", "sometimes"), "", nil},
+		{"known", replace("active", "asleep"), "", nil},
+		{"flight.listen", sound, "[flight]\nlisten = \"here\"\n", nil},
+		{"ipfix.collector", sound, "[ipfix]\ncollector = \"here\"\n", nil},
+		{"flight.lisen", sound, "[flight]\nlisen = \"127.0.0.1:1\"\n", nil},
+	}
+	for _, tt := range tests {
+		if _, err := load(t, tt.text, tt.toml, tt.env); err == nil || !strings.Contains(err.Error(), tt.key) {
+			t.Errorf("%s: error %v", tt.key, err)
+		}
+	}
+	if _, err := Load(func(string) string { return "" }, ""); err == nil || !strings.Contains(err.Error(), "LB_CONFIG") {
+		t.Errorf("no file: error %v", err)
+	}
+}
--- /dev/null
+++ b/internal/ipfix/ipfix.go
@@ -0,0 +1,158 @@
+// Package ipfix encodes flow records as RFC 7011 has them: templates, and a data
+// record for each connection that has ended. It is pure.
+package ipfix
+
+import (
+	"encoding/binary"
+	"net/netip"
+	"time"
+)
+
+// Information elements, as IANA numbers them.
+const (
+	protocolIdentifier       = 4
+	sourceTransportPort      = 7
+	sourceIPv4Address        = 8
+	destinationTransportPort = 11
+	destinationIPv4Address   = 12
+	sourceIPv6Address        = 27
+	destinationIPv6Address   = 28
+	flowEndReason            = 136
+	flowStartMilliseconds    = 152
+	flowEndMilliseconds      = 153
+	initiatorOctets          = 231
+	responderOctets          = 232
+)
+
+const (
+	version     = 10
+	headerSize  = 16
+	setHeader   = 4
+	templateSet = 2
+	template4   = 256
+	template6   = 257
+	protocolTCP = 6
+	maxMessage  = 16 << 10 // far under the 65,535 bytes that a message may have
+)
+
+// Reason is why a flow has ended, by the numbers of flowEndReason.
+type Reason uint8
+
+// The reasons.
+const (
+	IdleTimeout    Reason = 1
+	EndOfFlow      Reason = 3
+	ForcedEnd      Reason = 4
+	LackOfResource Reason = 5
+)
+
+// Flow is a connection that has ended. Its source is who opened it.
+type Flow struct {
+	Source, Destination netip.AddrPort
+	Start, End          time.Time
+	Sent, Received      uint64 // payload bytes from the source and to it
+	Reason              Reason
+}
+
+type field struct{ element, length uint16 }
+
+func fields(source, destination, size uint16) []field {
+	return []field{{flowStartMilliseconds, 8}, {flowEndMilliseconds, 8}, {source, size}, {destination, size},
+		{sourceTransportPort, 2}, {destinationTransportPort, 2}, {protocolIdentifier, 1}, {initiatorOctets, 8},
+		{responderOctets, 8}, {flowEndReason, 1}}
+}
+
+var templates = []struct {
+	id     uint16
+	fields []field
+}{{template4, fields(sourceIPv4Address, destinationIPv4Address, 4)}, {template6, fields(sourceIPv6Address, destinationIPv6Address, 16)}}
+
+// Stream encodes the messages of one connection to a collector.
+type Stream struct {
+	Domain   uint32 // the observation domain
+	sequence uint32 // data records sent before
+}
+
+// Templates returns the message that opens a stream.
+func (s *Stream) Templates(now time.Time) []byte {
+	b := s.begin(now)
+	at := len(b)
+	b = binary.BigEndian.AppendUint16(b, templateSet)
+	b = binary.BigEndian.AppendUint16(b, 0)
+	for _, t := range templates {
+		b = binary.BigEndian.AppendUint16(b, t.id)
+		b = binary.BigEndian.AppendUint16(b, uint16(len(t.fields)))
+		for _, f := range t.fields {
+			b = binary.BigEndian.AppendUint16(b, f.element)
+			b = binary.BigEndian.AppendUint16(b, f.length)
+		}
+	}
+	binary.BigEndian.PutUint16(b[at+2:], uint16(len(b)-at))
+	return end(b)
+}
+
+// Records returns messages with a data record for each flow.
+func (s *Stream) Records(now time.Time, flows []Flow) (messages [][]byte) {
+	for len(flows) > 0 {
+		b := s.begin(now)
+		sent := uint32(0)
+		for len(flows) > 0 && len(b) < maxMessage {
+			id, n := kind(flows[0]), 1
+			for n < len(flows) && kind(flows[n]) == id && len(b)+n*64 < maxMessage {
+				n++
+			}
+			at := len(b)
+			b = binary.BigEndian.AppendUint16(b, id)
+			b = binary.BigEndian.AppendUint16(b, 0)
+			for _, f := range flows[:n] {
+				b = appendFlow(b, f)
+			}
+			binary.BigEndian.PutUint16(b[at+2:], uint16(len(b)-at))
+			flows, sent = flows[n:], sent+uint32(n)
+		}
+		s.sequence += sent
+		messages = append(messages, end(b))
+	}
+	return messages
+}
+
+func kind(f Flow) uint16 {
+	if f.Source.Addr().Unmap().Is4() && f.Destination.Addr().Unmap().Is4() {
+		return template4
+	}
+	return template6
+}
+
+// begin writes a message's header; its length is put in by end.
+func (s *Stream) begin(now time.Time) []byte {
+	b := binary.BigEndian.AppendUint16(nil, version)
+	b = binary.BigEndian.AppendUint16(b, 0)
+	b = binary.BigEndian.AppendUint32(b, uint32(now.Unix()))
+	b = binary.BigEndian.AppendUint32(b, s.sequence)
+	return binary.BigEndian.AppendUint32(b, s.Domain)
+}
+
+func end(b []byte) []byte {
+	binary.BigEndian.PutUint16(b[2:], uint16(len(b)))
+	return b
+}
+
+func appendFlow(b []byte, f Flow) []byte {
+	b = binary.BigEndian.AppendUint64(b, uint64(f.Start.UnixMilli()))
+	b = binary.BigEndian.AppendUint64(b, uint64(f.End.UnixMilli()))
+	for _, a := range []netip.Addr{f.Source.Addr(), f.Destination.Addr()} {
+		if kind(f) == template4 {
+			v := a.Unmap().As4()
+			b = append(b, v[:]...)
+		} else {
+			v := a.As16()
+			b = append(b, v[:]...)
+		}
+	}
+	b = binary.BigEndian.AppendUint16(b, f.Source.Port())
+	b = binary.BigEndian.AppendUint16(b, f.Destination.Port())
+	b = append(b, protocolTCP)
+	b = binary.BigEndian.AppendUint64(b, f.Sent)
+	b = binary.BigEndian.AppendUint64(b, f.Received)
+	return append(b, byte(f.Reason))
+}
--- /dev/null
+++ b/internal/transport/transport_test.go
@@ -0,0 +1,250 @@
+package transport
+
+import (
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+	"github.com/google/go-cmp/cmp"
+
+	"kiteloft/decide"
+)
+
+// owner runs what is posted, one after another.
+type owner chan func()
+
+func newOwner(t *testing.T) owner {
+	o := make(owner, 1000)
+	done := make(chan struct{})
+	t.Cleanup(func() { close(done) })
+	go func() {
+		for {
+			select {
+			case fn := <-o:
+				fn()
+			case <-done:
+				return
+			}
+		}
+	}()
+	return o
+}
+
+func (o owner) Post(fn func()) { o <- fn }
+
+// heard records what a connection's handler is told.
+type heard struct {
+	mu   sync.Mutex
+	data string
+	half bool
+	ends []End
+}
+
+func (h *heard) Data(b []byte)  { h.with(func() { h.data += string(b) }) }
+func (h *heard) HalfClosed()    { h.with(func() { h.half = true }) }
+func (h *heard) Ended(e End)    { h.with(func() { h.ends = append(h.ends, e) }) }
+func (h *heard) with(fn func()) { h.mu.Lock(); defer h.mu.Unlock(); fn() }
+
+func wait(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for until := time.Now().Add(10 * time.Second); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatalf("waited in vain until %s", what)
+		}
+	}
+}
+
+func (h *heard) ended(t *testing.T, want End) {
+	t.Helper()
+	var got []End
+	wait(t, "the connection has ended", func() bool { h.with(func() { got = h.ends }); return len(got) > 0 })
+	if diff := cmp.Diff([]End{want}, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// accepted returns a served connection, its handler and the peer's end of it.
+func accepted(t *testing.T) (*Conn, *heard, *net.TCPConn) {
+	t.Helper()
+	h, conns := &heard{}, make(chan *Conn, 1)
+	n := NewNet(newOwner(t), 10, nil)
+	ln, err := n.Listen("127.0.0.1:0", func(c *Conn) Handler { conns <- c; return h })
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	peer, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = peer.Close() })
+	return <-conns, h, peer.(*net.TCPConn)
+}
+
+func TestOutcomeOfEveryEnd(t *testing.T) {
+	for e := Open + 1; int(e) < len(endNames); e++ {
+		if got := Outcome(e, false); got != decide.ConnectFailed {
+			t.Errorf("%v before the last byte: %v", e, got)
+		}
+		want := decide.Reset
+		if e == Refused || e == NeverUp || e == NoDescriptor || e == NotDialed {
+			want = decide.ConnectFailed
+		}
+		if got := Outcome(e, true); got != want {
+			t.Errorf("%v after the last byte: %v", e, got)
+		}
+		if e.String() == "unknown" {
+			t.Errorf("%d has no name", e)
+		}
+	}
+}
+
+func TestPeerEndsInEachWay(t *testing.T) {
+	t.Run("reset", func(t *testing.T) {
+		_, h, peer := accepted(t)
+		_ = peer.SetLinger(0)
+		_ = peer.Close()
+		h.ended(t, PeerReset)
+	})
+	t.Run("half closed, then answered", func(t *testing.T) {
+		c, h, peer := accepted(t)
+		_, _ = io.WriteString(peer, "hello")
+		_ = peer.CloseWrite()
+		wait(t, "the half close is told", func() bool { var half bool; h.with(func() { half = h.half }); return half })
+		if h.data != "hello" || c.Gone() {
+			t.Errorf("data %q, gone %v", h.data, c.Gone())
+		}
+		c.Write([]byte("answer"))
+		c.Close(LocalDone)
+		b, err := io.ReadAll(peer)
+		if string(b) != "answer" || err != nil {
+			t.Errorf("peer read %q, %v", b, err)
+		}
+		h.ended(t, LocalDone)
+	})
+	t.Run("closed, told by what is sent", func(t *testing.T) {
+		c, h, peer := accepted(t)
+		_ = peer.Close()
+		wait(t, "the half close is told", func() bool { var half bool; h.with(func() { half = h.half }); return half })
+		c.Write([]byte("H"))
+		wait(t, "the reset is seen", c.Gone)
+	})
+}
+
+// TestAPeerThatDoesNotRead shows that netpoll's own Flush blocks there, and that
+// Write does not.
+func TestAPeerThatDoesNotRead(t *testing.T) {
+	c, h, peer := accepted(t)
+	_ = peer.SetReadBuffer(4096)
+	chunk := []byte(strings.Repeat("x", 256<<10))
+	returned := make(chan struct{})
+	go func() {
+		defer close(returned)
+		for range 100 {
+			c.Write(chunk)
+		}
+	}()
+	select {
+	case <-returned:
+	case <-time.After(10 * time.Second):
+		t.Fatal("Write blocked")
+	}
+	h.ended(t, PeerStalled)
+	if c.Written(100 * int64(len(chunk))) {
+		t.Error("bytes that were never written count as written")
+	}
+
+	fds, err := syscall.Socketpair(syscall.AF_UNIX, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = syscall.Close(fds[1]) })
+	nc, err := netpoll.NewFDConnection(fds[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	flushed := make(chan struct{})
+	go func() {
+		defer close(flushed)
+		_, _ = nc.Writer().WriteBinary(make([]byte, 8<<20))
+		_ = nc.Writer().Flush()
+	}()
+	select {
+	case <-flushed:
+		t.Error("netpoll's Flush no longer blocks: Write need not go round it")
+	case <-time.After(100 * time.Millisecond):
+	}
+	_ = nc.Close()
+	<-flushed
+}
+
+func TestASlowPeerGetsEverything(t *testing.T) {
+	c, _, peer := accepted(t)
+	_ = peer.SetReadBuffer(64 << 10)
+	var want strings.Builder
+	for i, after := 0, 0; after < 8; i++ { // some more once the kernel's buffers are full
+		s := strings.Repeat(string(rune('a'+i%26)), 64<<10)
+		want.WriteString(s)
+		c.Write([]byte(s))
+		if !c.Idle() {
+			after++
+		}
+	}
+	got := make([]byte, want.Len())
+	if _, err := io.ReadFull(peer, got); err != nil || string(got) != want.String() {
+		t.Errorf("peer read something else, %v", err)
+	}
+	wait(t, "nothing waits", c.Idle)
+}
+
+func TestDialsThatFail(t *testing.T) {
+	n := NewNet(newOwner(t), 1, nil)
+	dial := func(addr string) End {
+		ends := make(chan End, 1)
+		n.Dial(addr, 200*time.Millisecond, &heard{}, func(_ *Conn, e End) { ends <- e })
+		return <-ends
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	shut, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = shut.Close()
+	got := []End{dial("nowhere"), dial(shut.Addr().String()), dial(ln.Addr().String()), dial(ln.Addr().String())}
+	if diff := cmp.Diff([]End{NotDialed, Refused, Open, NoDescriptor}, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestConnectionsAreCounted(t *testing.T) {
+	stats := make(chan Stats, 1)
+	o := newOwner(t)
+	n := NewNet(o, 10, func(s Stats) { stats <- s })
+	h := &heard{}
+	ln, err := n.Listen("127.0.0.1:0", func(*Conn) Handler { return h })
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	peer, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = io.WriteString(peer, "hello")
+	_ = peer.(*net.TCPConn).SetLinger(0)
+	wait(t, "the data is read", func() bool { var n int; h.with(func() { n = len(h.data) }); return n == 5 })
+	_ = peer.Close()
+	s := <-stats
+	if s.In != 5 || s.Out != 0 || s.Dialed || s.End != PeerReset || s.Remote.String() != peer.LocalAddr().String() {
+		t.Errorf("flow %+v", s)
+	}
+}
