Guard against a log nobody reads, a crowd of idle clients and a panic of the module

From a review of what can block or end the mixer: a full standard error blocked the loop; at the descriptor limit a connection was turned away at the door, maybe with a request on it; Step's panic ended the process; pipelined requests did not count their wait; a query taken in the last 0.3 s after SIGTERM could be lost.

--- a/cmd/kiteloft/main.go
+++ b/cmd/kiteloft/main.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
 
 	"kiteloft/decide"
 	"kiteloft/internal/broker"
@@ -31,6 +32,7 @@
 	// started before us have to have a time above zero.
 	clockStart  = 24 * time.Hour
 	ownFiles    = 40                     // descriptors that are not connections
+	logLines    = 1000                   // lines that may wait to be written
 	memoryShare = 0.7                    // share of the memory limit at which the collector works harder
 	acceptOn    = 500 * time.Millisecond // how long new connections are taken after SIGTERM; 0.4 s are asked for
 	lingerOn    = 300 * time.Millisecond // how long clients get to take their last answer
@@ -38,16 +40,29 @@
 )
 
 func main() {
-	log := zerolog.New(os.Stderr).With().Timestamp().Logger()
+	os.Exit(run())
+}
+
+func run() int {
+	// Guards the loop against whoever reads our log and stops: lines are dropped,
+	// and counted, rather than waited for.
+	out := diode.NewWriter(os.Stderr, logLines, 0, func(missed int) {
+		fmt.Fprintf(os.Stderr, "{\"level\":\"warn\",\"lines\":%d,\"message\":\"log lines dropped\"}\n", missed)
+	})
+	defer func() { _ = out.Close() }() // nobody is left to tell
+	log := zerolog.New(out).With().Timestamp().Logger()
 	cfg, err := config.Load(os.Getenv, brokerFile)
 	if err != nil {
 		log.Error().Err(err).Msg("configuration is faulty")
-		os.Exit(2)
+		return 2
 	}
-	if err := serve(cfg, log.With().Str("mixer", cfg.Name).Logger()); err != nil {
+	log = log.With().Str("mixer", cfg.Name).Logger()
+	transport.LogTo(log.With().Str("from", "netpoll").Logger())
+	if err := serve(cfg, log); err != nil {
 		log.Error().Err(err).Msg("mixer failed")
-		os.Exit(1)
+		return 1
 	}
+	return 0
 }
 
 // coreLog writes the core's log lines.
@@ -78,7 +93,7 @@
 		StreamsPerConn: set.StreamsPerConn}, map[string]node.Protocol{"": node.Frames, nodeflight.Scheme: nodeflight.Protocol}, log)
 	dir := discovery.New(core, net, cfg.Discovery, set.Zones, started.Add(-clockStart), log)
 	core.Use(links, dir)
-	front := platform.New(core, set.Module.Classes, log)
+	front := platform.New(core, set.Module.Classes, net.Crowded, log)
 	ln, err := net.Listen(cfg.Listen, func(c *transport.Conn) transport.Handler { return front.Accept(c) })
 	if err != nil {
 		return fmt.Errorf("LB_LISTEN: %w", err)
@@ -126,15 +141,11 @@
 				if columns != nil {
 					columns.Stop()
 				}
-				core.After(lingerOn, func() {
-					core.Stop(func() {
-						core.After(lingerOn, func() {
-							if flows != nil {
-								flows.Flush()
-							}
-							core.After(lastWrites, func() { close(stop) })
-						})
-					})
+				endQuietly(core, func() {
+					if flows != nil {
+						flows.Flush()
+					}
+					core.After(lastWrites, func() { close(stop) })
 				})
 			})
 		})
@@ -143,3 +154,18 @@
 	log.Info().Msg("mixer has ended")
 	return nil
 }
+
+// endQuietly calls end once nothing is open and nothing has been for a while.
+func endQuietly(core *broker.Core, end func()) {
+	core.After(lingerOn, func() {
+		core.Stop(func() {
+			core.After(lingerOn, func() {
+				if core.Held() > 0 { // asked on a connection that was still open
+					endQuietly(core, end)
+					return
+				}
+				end()
+			})
+		})
+	})
+}
--- a/internal/broker/step.go
+++ b/internal/broker/step.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"fmt"
+	"runtime/debug"
 	"slices"
 	"strconv"
 	"time"
@@ -22,7 +24,7 @@
 	events := c.events
 	c.events, c.stepped = nil, c.now
 	var calls callList
-	for _, action := range c.mod.Step(c.now, events) {
+	for _, action := range c.ask(events) {
 		switch a := action.(type) {
 		case decide.Send:
 			if at := c.attempt(a); at != nil {
@@ -66,6 +68,17 @@
 	}
 }
 
+// ask gives the module its step. It guards the mixer against a panic in it: what
+// is open is then ended by the last moment's guard, and the mixer lives on.
+func (c *Core) ask(events []decide.Event) (actions []decide.Action) {
+	defer func() {
+		if r := recover(); r != nil {
+			c.log.Guard("module", "", fmt.Sprintf("panic: %v\n%s", r, debug.Stack()))
+		}
+	}()
+	return c.mod.Step(c.now, events)
+}
+
 // callList gathers a step's sends by node, in the order of each node's first.
 type callList [][]*Attempt
 
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -33,6 +33,7 @@
 	Now() time.Duration
 	After(d time.Duration, fn func())
 	Take(q broker.Query) (broker.Verdict, *broker.Handle)
+	Post(fn func())
 }
 
 // Conn is a connection to a client.
@@ -50,14 +51,15 @@
 	set     []decide.Class
 	log     zerolog.Logger
 	clients map[*client]struct{}
+	crowded func() bool
 	closing bool
 	ready   bool
 }
 
 // New returns a Front for the classes. It answers that it is ready once Ready
-// is called.
-func New(core Core, classes []decide.Class, log zerolog.Logger) *Front {
-	return &Front{core: core, classes: front.Classes(classes), set: classes, log: log, clients: map[*client]struct{}{}}
+// is called. Crowded tells that there is hardly room for more connections.
+func New(core Core, classes []decide.Class, crowded func() bool, log zerolog.Logger) *Front {
+	return &Front{core: core, crowded: crowded, classes: front.Classes(classes), set: classes, log: log, clients: map[*client]struct{}{}}
 }
 
 // Ready lets health checks pass and starts to look after connections.
@@ -77,6 +79,7 @@
 	closing bool
 	rest    time.Duration // since when nothing is open
 	begun   time.Duration // when the request that is coming in began; 0: none is
+	last    time.Duration // when bytes last came
 }
 
 // request is a query's way back to its client. It implements broker.Answerer.
@@ -86,14 +89,38 @@
 	close  bool
 }
 
-// Accept takes a new connection.
+// Accept takes a new connection. Unlike all else here, it may be called on any
+// goroutine.
 func (f *Front) Accept(conn Conn) transport.Handler {
-	return &client{f: f, conn: conn, parser: http1.NewRequestParser()}
+	c := &client{f: f, conn: conn, parser: http1.NewRequestParser()}
+	f.core.Post(func() {
+		c.rest = f.core.Now()
+		f.clients[c] = struct{}{}
+		if f.crowded() {
+			f.makeRoom()
+		}
+	})
+	return c
+}
+
+// makeRoom closes the connection that has rested longest. It guards descriptors
+// against clients that open connections without end: one between requests may be
+// closed, one that is turned away at the door may hold a request.
+func (f *Front) makeRoom() {
+	var oldest *client
+	for c := range f.clients {
+		if !c.closing && c.open == nil && !c.parser.Started() && (oldest == nil || c.rest < oldest.rest) {
+			oldest = c
+		}
+	}
+	if oldest != nil {
+		oldest.end()
+	}
 }
 
 // Data implements transport.Handler.
 func (c *client) Data(b []byte) {
-	c.f.clients[c] = struct{}{}
+	c.last = c.f.core.Now()
 	if c.closing {
 		return
 	}
@@ -166,6 +193,11 @@
 		text(status, why)
 		return
 	}
+	// A pipelined request has waited for the answers before it, on its own time.
+	if q.Left -= c.f.core.Now() - c.last; q.Left <= 0 {
+		text(504, "out of time")
+		return
+	}
 	r := &request{c: c, close: m.Close}
 	q.Answerer = r
 	verdict, handle := c.f.core.Take(q)
@@ -360,6 +392,3 @@
 func (f *Front) Stop() {
 	f.closing = true
 }
-
-// Clients is the number of connections that have sent something.
-func (f *Front) Clients() int { return len(f.clients) }
--- a/internal/transport/net.go
+++ b/internal/transport/net.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/netip"
 	"sync"
@@ -17,6 +18,7 @@
 const (
 	dialers  = 24  // dials under way at once; each may hang for the time to connect
 	maxDials = 256 // dials that wait for one of them
+	reserve  = 8   // one in so many connections is kept for those that we open
 )
 
 // worker runs netpoll's callbacks, for all connections, on one goroutine: none
@@ -52,8 +54,24 @@
 	}
 }
 
+// logs hands netpoll's own lines to where LogTo says; its poller may not block
+// on them.
+type logs struct{}
+
+var logTo atomic.Pointer[io.Writer]
+
+// LogTo says where netpoll's own log lines go. Until then they are dropped.
+func LogTo(w io.Writer) { logTo.Store(&w) }
+
+func (logs) Write(b []byte) (int, error) {
+	if w := logTo.Load(); w != nil {
+		return (*w).Write(b)
+	}
+	return len(b), nil
+}
+
 func init() {
-	if err := netpoll.Configure(netpoll.Config{Runner: worker.add, LoadBalance: netpoll.RoundRobin}); err != nil {
+	if err := netpoll.Configure(netpoll.Config{Runner: worker.add, LoadBalance: netpoll.RoundRobin, LoggerOutput: logs{}}); err != nil {
 		panic(err) // the values are constants that netpoll accepts
 	}
 	go worker.run()
@@ -89,6 +107,9 @@
 	}
 }
 
+// Crowded reports whether accepted connections will soon be turned away.
+func (n *Net) Crowded() bool { return n.open.Load() > n.max-2*n.max/reserve }
+
 // Dial opens a connection without blocking; done is posted with it, or with the
 // way in which it failed. A timeout of zero means netpoll's own.
 func (n *Net) Dial(addr string, timeout time.Duration, h Handler, done func(*Conn, End)) {
@@ -160,7 +181,7 @@
 		return nil, fmt.Errorf("listening at %s: %w", addr, err)
 	}
 	prepare := func(nc netpoll.Connection) context.Context {
-		if n.open.Add(1) > n.max {
+		if n.open.Add(1) > n.max-n.max/reserve {
 			n.open.Add(-1)
 			_ = nc.Close() // guards the limit on descriptors; the client tries elsewhere
 			return context.Background()
