--- a/cmd/kiteloft/bed_test.go
+++ b/cmd/kiteloft/bed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -156,7 +157,9 @@
 type bed struct {
 	nodes          []*standIn
 	listen, flight string
-	collector      string // "": flows are not exported
+	collector      string        // "": flows are not exported
+	sockets        int           // 0: 1024
+	deaf           chan struct{} // while it is open, nobody reads the log; nil: somebody does
 	cmd            *exec.Cmd
 	exit           chan error
 
@@ -200,7 +203,8 @@
 	dir := t.TempDir()
 	known, _ := json.Marshal(map[string]any{"revision": 1, "complete": true, "members": b.members})
 	config := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":"%s","seed":"8c1f30d27a5be964",
-"limits":{"cores":1,"memory_mb":192,"sockets":1024},"known":%s,"settings":%s}`, discovery.Listener.Addr(), known, settings)
+"limits":{"cores":1,"memory_mb":192,"sockets":%d},"known":%s,"settings":%s}`, discovery.Listener.Addr(), cmp.Or(b.sockets, 1024),
+		known, settings)
 	write := func(name, text string) string {
 		path := filepath.Join(dir, name)
 		if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
@@ -236,7 +240,11 @@
 			case "Flight front serves":
 				b.flight = line.Listen
 			}
+			deaf := b.deaf
 			b.mu.Unlock()
+			if deaf != nil {
+				<-deaf
+			}
 		}
 	}()
 	go func() { <-read; b.exit <- b.cmd.Wait() }()
--- a/cmd/kiteloft/clients_test.go
+++ b/cmd/kiteloft/clients_test.go
@@ -206,3 +206,42 @@
 		t.Error("the mixer did not end")
 	}
 }
+
+// TestIdleClientsMakeRoom has more clients keep connections than there are
+// descriptors for: those between requests are closed, and queries are served.
+func TestIdleClientsMakeRoom(t *testing.T) {
+	t.Parallel()
+	b := &bed{news: make(chan struct{}), changed: map[string]int{}, exit: make(chan error, 1), sockets: 80}
+	n := &standIn{id: "s-0", do: sound}
+	b.nodes = []*standIn{n}
+	b.members = []member{{ID: n.id, HostPort: platformWire{}.node(t, n), Locality: "a", Phase: "active", Size: 1}}
+	b.run(t, settings)
+	for i := range 120 {
+		c := dial(t, b)
+		_, _ = io.WriteString(c, request(fmt.Sprintf("a%d", i), lookup, ""))
+		if diff := cmp.Diff([]int{200}, responses(t, c, 1)); diff != "" {
+			t.Fatalf("client %d: %s", i, diff)
+		}
+	}
+}
+
+// TestALogThatNobodyReads fills the pipe that the log goes to.
+func TestALogThatNobodyReads(t *testing.T) {
+	t.Parallel()
+	b := start(t, platformWire{}, sound)
+	deaf := make(chan struct{})
+	defer close(deaf)
+	b.mu.Lock()
+	b.deaf = deaf
+	b.mu.Unlock()
+	c := dial(t, b)
+	for i := range 3000 { // each is worth a line
+		_, _ = io.WriteString(c, request(fmt.Sprintf("a%d", i), "{", ""))
+		if diff := cmp.Diff([]int{400}, responses(t, c, 1)); diff != "" {
+			t.Fatal(diff)
+		}
+	}
+	if r := (platformWire{}).ask(t, b, query{class: "lookup", shards: []int{1}, deadline: 4 * time.Second}); r.kind != "served" {
+		t.Errorf("client got %+v", r)
+	}
+}
--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -200,6 +200,24 @@
 	}
 }
 
+// TestAModuleThatPanics costs the mixer the step, not its life.
+func TestAModuleThatPanics(t *testing.T) {
+	s := play(t, []decide.Action{send("q1.0")})
+	s.ask(t, 0)
+	s.mod = panics{}
+	s.Post(func() { s.Ended(s.calls[0][0], decide.OK, 0, nil) })
+	for d := tick; d <= time.Second; d += tick {
+		s.at(d)
+	}
+	if diff := cmp.Diff([]string{"expired"}, s.answers); diff != "" || s.guards[0] != "module" {
+		t.Errorf("%s; guards %v", diff, s.guards)
+	}
+}
+
+type panics struct{}
+
+func (panics) Step(time.Duration, []decide.Event) []decide.Action { panic("no reason") }
+
 func TestEverySendGetsOneOutcome(t *testing.T) {
 	s := play(t, []decide.Action{send("q1.0"), send("q1.0"), send("q1.0"), send("q1.2"), send("q9.9")},
 		[]decide.Action{decide.Cancel{Part: "q1.0", Attempt: 0}, decide.Cancel{Part: "q1.0", Attempt: 0}}, []decide.Action{decide.Wake{After: tick, Token: "w"}},
