--- /dev/null
+++ b/cmd/kiteloft/links_test.go
@@ -0,0 +1,90 @@
+package main
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+// alone starts a mixer over one stock node, under changed settings.
+func alone(t *testing.T, do func(part) reply, old, new string) (*bed, *standIn) {
+	t.Helper()
+	b := &bed{news: make(chan struct{}), changed: map[string]int{}, exit: make(chan error, 1)}
+	n := &standIn{id: "s-0", do: do}
+	b.nodes = []*standIn{n}
+	b.members = []member{{ID: n.id, HostPort: platformWire{}.node(t, n), Locality: "a", Phase: "active", Size: 1}}
+	if !strings.Contains(settings, old) {
+		t.Fatalf("no %s in the settings", old)
+	}
+	b.run(t, strings.Replace(settings, old, new, 1))
+	return b, n
+}
+
+// TestIdleConnectionsCloseBeforeTheNodeDoes keeps clear of requests written to a
+// connection that the node's machine has closed.
+func TestIdleConnectionsCloseBeforeTheNodeDoes(t *testing.T) {
+	t.Parallel()
+	b, n := alone(t, sound, `"conn_idle":30`, `"conn_idle":2`)
+	ask := func() {
+		t.Helper()
+		if r := (platformWire{}).ask(t, b, query{class: "once", shards: []int{1}, deadline: 4 * time.Second}); r.kind != "served" {
+			t.Errorf("client got %+v", r)
+		}
+	}
+	ask()
+	b.wait(t, "the connection is closed", func() bool { _, went := n.connections(); return went == 1 })
+	if idle := n.went[0].Sub(n.parts()[0].at); idle >= 2*time.Second {
+		t.Errorf("closed after %v", idle)
+	}
+	ask()
+	if came, _ := n.connections(); came != 2 {
+		t.Errorf("%d connections", came)
+	}
+}
+
+// TestConnectionsCarryNoMoreThanTheirLimit sends more parts than one may carry.
+func TestConnectionsCarryNoMoreThanTheirLimit(t *testing.T) {
+	t.Parallel()
+	b, n := alone(t, silent, `"streams_per_conn":32`, `"streams_per_conn":2`)
+	_ = (platformWire{}).ask(t, b, query{class: "lookup", shards: []int{0, 1, 2, 3, 4}, deadline: 500 * time.Millisecond})
+	if came, _ := n.connections(); came != 3 || len(n.parts()) != 5 {
+		t.Errorf("%d parts on %d connections", len(n.parts()), came)
+	}
+}
+
+// TestDiscoveryIsFollowed looks at the pace of watches, and at what a failure
+// costs.
+func TestDiscoveryIsFollowed(t *testing.T) {
+	t.Parallel()
+	b := start(t, platformWire{}, sound)
+	for range 5 {
+		b.tell(1, "active")
+		time.Sleep(50 * time.Millisecond)
+	}
+	b.mu.Lock()
+	if len(b.asked) < 4 {
+		t.Errorf("%d calls for five pieces of news", len(b.asked))
+	}
+	for i, at := range b.asked[1:] {
+		if gap := at.Sub(b.answered[i]); gap > 200*time.Millisecond {
+			t.Errorf("call %d came %v after the last answer", i+1, gap)
+		}
+	}
+	calls := len(b.asked)
+	b.down = true
+	b.mu.Unlock()
+	b.tell(0, "left")
+	b.wait(t, "a call has failed", func() bool { b.mu.Lock(); defer b.mu.Unlock(); return len(b.asked) > calls })
+	b.mu.Lock()
+	b.down = false
+	b.mu.Unlock()
+	b.wait(t, "the mixer hears that the node has left", func() bool {
+		before := len(b.nodes[0].parts())
+		for range 6 {
+			if r := (platformWire{}).ask(t, b, query{class: "lookup", shards: []int{1}, deadline: 4 * time.Second}); r.kind != "served" {
+				t.Fatalf("client got %+v", r)
+			}
+		}
+		return len(b.nodes[0].parts()) == before
+	})
+}
--- a/internal/front/flight/flight.go
+++ b/internal/front/flight/flight.go
@@ -54,7 +54,7 @@
 	Write(b []byte) int64
 	Close(e transport.End)
 	Idle() bool
-	Gone() bool
+	CloseIfGone()
 }
 
 // Front serves Flight clients.
@@ -354,13 +354,7 @@
 		return
 	}
 	c.h2.Ping()
-	c.f.core.After(resetWait, c.checkGone)
-}
-
-func (c *client) checkGone() {
-	if c.half && c.conn.Gone() {
-		c.conn.Close(transport.PeerReset)
-	}
+	c.f.core.After(resetWait, c.conn.CloseIfGone)
 }
 
 // Ended implements transport.Handler.
@@ -375,7 +369,7 @@
 func (f *Front) sweep() {
 	now := f.core.Now()
 	for c := range f.clients {
-		c.checkGone()
+		c.conn.CloseIfGone()
 		for k := range c.calls {
 			switch {
 			case k.done && !k.s.Open():
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -40,7 +40,7 @@
 type Conn interface {
 	Write(b []byte) int64
 	Close(e transport.End)
-	Gone() bool
+	CloseIfGone()
 	Idle() bool
 }
 
@@ -351,13 +351,7 @@
 	}
 	c.begins = true
 	c.conn.Write([]byte(version))
-	c.f.core.After(resetWait, c.checkGone)
-}
-
-func (c *client) checkGone() {
-	if c.half && c.conn.Gone() {
-		c.conn.Close(transport.PeerReset)
-	}
+	c.f.core.After(resetWait, c.conn.CloseIfGone)
 }
 
 // Ended implements transport.Handler.
@@ -374,7 +368,7 @@
 func (f *Front) sweep() {
 	now := f.core.Now()
 	for c := range f.clients {
-		c.checkGone()
+		c.conn.CloseIfGone()
 		switch {
 		case c.closing:
 			c.end()
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -125,7 +125,7 @@
 		c.mu.Unlock()
 		return
 	}
-	half := c.end == Open && !c.dialed && peerStillThere(c.fd)
+	half := c.end == Open && !c.dialed && finSeen(c.fd)
 	if half {
 		if fd, err := unix.FcntlInt(uintptr(c.fd), unix.F_DUPFD_CLOEXEC, 0); err == nil {
 			c.fd, c.raw = fd, true
@@ -156,14 +156,15 @@
 	return err == nil && info.State == closeWait
 }
 
-func peerStillThere(fd int) bool { return finSeen(fd) }
-
-// Gone reports whether a half-closed connection has been reset since. Netpoll
+// CloseIfGone ends a half-closed connection that has been reset since. Netpoll
 // no longer watches it, so the owner asks now and then.
-func (c *Conn) Gone() bool {
+func (c *Conn) CloseIfGone() {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.raw && !c.closed && !finSeen(c.fd)
+	gone := c.raw && !c.closed && !finSeen(c.fd)
+	c.mu.Unlock()
+	if gone {
+		c.Close(PeerReset)
+	}
 }
 
 // Write sends b, which the caller gives away, and never blocks: what the kernel
