--- a/cmd/kiteloft/clients_test.go
+++ b/cmd/kiteloft/clients_test.go
@@ -111,6 +111,24 @@
 	}
 }
 
+// TestAClientThatWaitsToGoOn sends its body only when it is told to.
+func TestAClientThatWaitsToGoOn(t *testing.T) {
+	t.Parallel()
+	b := start(t, platformWire{}, sound)
+	c := dial(t, b)
+	text := request("a1", lookup, "Expect: 100-continue\r\n")
+	_, _ = io.WriteString(c, text[:len(text)-len(lookup)])
+	want := "HTTP/1.1 100 Continue\r\n\r\n"
+	got := make([]byte, len(want))
+	if _, err := io.ReadFull(c, got); err != nil || string(got) != want {
+		t.Fatalf("got %q, %v", got, err)
+	}
+	_, _ = io.WriteString(c, lookup)
+	if diff := cmp.Diff([]int{200}, responses(t, c, 1)); diff != "" {
+		t.Error(diff)
+	}
+}
+
 // TestOverMaxOpen holds as much open as the settings allow.
 func TestOverMaxOpen(t *testing.T) {
 	t.Parallel()
--- a/internal/front/flight/flight.go
+++ b/internal/front/flight/flight.go
@@ -38,6 +38,7 @@
 	maxMessage = 128 << 10        // bytes of a client's message: a query of 64 KiB, and its wrapping
 	callTime   = 10 * time.Second // a call's message must be whole within it
 	readTime   = 5 * time.Second  // an answer must be taken within it
+	maxIdle    = time.Minute      // a connection without calls is closed after it
 	sweepPace  = 250 * time.Millisecond
 	resetWait  = 20 * time.Millisecond // by when a client that has closed answers a ping with a reset
 )
@@ -47,6 +48,7 @@
 	Now() time.Duration
 	After(d time.Duration, fn func())
 	Take(q broker.Query) (broker.Verdict, *broker.Handle)
+	Post(fn func())
 }
 
 // Conn is a connection to a client.
@@ -88,7 +90,8 @@
 	conn  Conn
 	h2    *h2.Conn
 	calls map[*call]struct{}
-	half  bool // the client sends nothing more
+	half  bool          // the client sends nothing more
+	used  time.Duration // when bytes last came
 }
 
 // call is one stream, and its query's way back. It implements broker.Answerer.
@@ -107,17 +110,21 @@
 	doneAt  time.Duration
 }
 
-// Accept takes a new connection.
+// Accept takes a new connection. Unlike all else here, it may be called on any
+// goroutine.
 func (f *Front) Accept(conn Conn) transport.Handler {
-	return &client{f: f, conn: conn, calls: map[*call]struct{}{}}
+	c := &client{f: f, conn: conn, calls: map[*call]struct{}{}}
+	f.core.Post(func() {
+		c.used = f.core.Now()
+		c.h2 = h2.New(true, streams{c}, conn.Write)
+		f.clients[c] = struct{}{}
+	})
+	return c
 }
 
 // Data implements transport.Handler.
 func (c *client) Data(b []byte) {
-	if c.h2 == nil {
-		c.h2 = h2.New(true, streams{c}, c.conn.Write)
-		c.f.clients[c] = struct{}{}
-	}
+	c.used = c.f.core.Now()
 	if err := c.h2.Receive(b); err != nil {
 		c.f.log.Info().Err(err).Msg("Flight client broke HTTP/2")
 		c.conn.Close(transport.BadInput)
@@ -164,7 +171,11 @@
 	}
 	list, err := k.msgs.Add(b)
 	if err != nil {
-		k.status(h2.Status{Code: codes.ResourceExhausted, Message: err.Error()})
+		code := codes.ResourceExhausted
+		if errors.Is(err, h2.ErrCompressed) {
+			code = codes.Unimplemented
+		}
+		k.status(h2.Status{Code: code, Message: err.Error()})
 		return
 	}
 	for _, m := range list {
@@ -349,7 +360,7 @@
 // open is still owed an answer if the client has only shut down its side; a ping
 // makes one that has closed reset.
 func (c *client) HalfClosed() {
-	if c.half = true; c.h2 == nil || c.h2.Streams() == 0 {
+	if c.half = true; c.h2.Streams() == 0 {
 		c.conn.Close(transport.LocalDone)
 		return
 	}
@@ -383,8 +394,13 @@
 				k.status(h2.Status{Code: codes.DeadlineExceeded, Message: "the call was not whole in time"})
 			}
 		}
-		if (f.closing || c.half) && c.h2.Streams() == 0 && c.conn.Idle() {
+		switch rests := c.h2.Streams() == 0 && c.conn.Idle(); {
+		case rests && (f.closing || c.half):
 			c.conn.Close(transport.LocalDone)
+		case rests && now-c.used > maxIdle:
+			// Guards descriptors against clients that keep what they don't use.
+			c.h2.GoAway()
+			c.conn.Close(transport.LocalIdle)
 		}
 	}
 	f.core.After(sweepPace, f.sweep)
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -150,6 +150,8 @@
 			c.rest = c.f.core.Now()
 			if c.half {
 				c.end()
+			} else if c.parser.Expects() {
+				c.conn.Write([]byte(version + "100 Continue\r\n\r\n"))
 			}
 			return
 		}
--- a/internal/h2/grpc.go
+++ b/internal/h2/grpc.go
@@ -16,8 +16,11 @@
 
 const messageHead = 5 // bytes before each gRPC message
 
-// ErrMessage is a gRPC message that can't be taken.
-var ErrMessage = errors.New("gRPC message compressed or too long")
+// ErrTooLong and ErrCompressed are gRPC messages that are not taken.
+var (
+	ErrTooLong    = errors.New("gRPC message too long")
+	ErrCompressed = errors.New("gRPC message compressed")
+)
 
 func (c *Conn) sorted() []*Stream {
 	return slices.SortedFunc(maps.Values(c.streams), func(a, b *Stream) int { return int(a.ID) - int(b.ID) })
@@ -34,8 +37,11 @@
 	m.buf = append(m.buf, b...)
 	for len(m.buf) >= messageHead {
 		n := binary.BigEndian.Uint32(m.buf[1:])
-		if m.buf[0] != 0 || uint64(n) > uint64(m.Max) {
-			return list, ErrMessage
+		if m.buf[0] != 0 {
+			return list, ErrCompressed
+		}
+		if uint64(n) > uint64(m.Max) {
+			return list, ErrTooLong
 		}
 		end := messageHead + int(n)
 		if len(m.buf) < end {
--- a/internal/h2/h2_test.go
+++ b/internal/h2/h2_test.go
@@ -197,9 +197,10 @@
 			t.Errorf("in pieces of %d: %s", n, diff)
 		}
 	}
-	for _, bad := range []string{"\x01\x00\x00\x00\x01a", "\x00\x00\x00\x00\x04abcd", "\x00\xff\xff\xff\xff"} {
+	for bad, want := range map[string]error{"\x01\x00\x00\x00\x01a": ErrCompressed, "\x00\x00\x00\x00\x04abcd": ErrTooLong,
+		"\x00\xff\xff\xff\xff": ErrTooLong} {
 		m := Messages{Max: 3}
-		if _, err := m.Add([]byte(bad)); !errors.Is(err, ErrMessage) {
+		if _, err := m.Add([]byte(bad)); !errors.Is(err, want) {
 			t.Errorf("%q gave %v", bad, err)
 		}
 	}
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -55,6 +55,7 @@
 	need     int // bytes missing from the body or chunk
 	trailer  int
 	eof      bool
+	expects  bool // the client waits for a word before it sends the body
 	err      error
 }
 
@@ -90,6 +91,14 @@
 // Started reports whether a message has begun and not ended.
 func (p *Parser) Started() bool { return len(p.buf) > 0 || p.state != inHead }
 
+// Expects reports, once a message, whether its sender waits to be told to go on
+// with the body.
+func (p *Parser) Expects() bool {
+	e := p.expects && p.state != inHead && len(p.msg.Body) == 0 && len(p.buf) == 0
+	p.expects = p.expects && !e
+	return e
+}
+
 // Next returns the next whole message, or nil if more bytes are needed. After
 // an error, always an *Error, the stream can't be read any further.
 func (p *Parser) Next() (*Message, error) {
@@ -104,7 +113,7 @@
 		}
 		if done {
 			m := p.msg
-			p.msg, p.state, p.scanned, p.trailer = nil, inHead, 0, 0
+			p.msg, p.state, p.scanned, p.trailer, p.expects = nil, inHead, 0, 0, false
 			if len(p.buf) == 0 {
 				p.buf = nil // an idle connection holds no memory
 			}
@@ -298,6 +307,7 @@
 		m.Header[name] = value
 	}
 	m.Close = closes(m)
+	p.expects = strings.EqualFold(m.Header["expect"], "100-continue")
 	p.msg = m
 	return nil
 }
