Hear what a peer said before it left, though its end is known already

Found by reading the path of a node that answers and closes at once. transport/conn.go readable dropped bytes that waited for the core's goroutine once the connection had an end, also when that end was the peer's, so an answer became a reset; a failed write closed the connection at once and lost it the same way. TestLastWordsAreHeard heard nothing before, both for an orderly end and a reset.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -217,7 +217,7 @@
 	if l.session != nil {
 		room = min(room, l.session.Room())
 	}
-	if l.ended || len(call) > room {
+	if l.ended || len(call) > room || l.conn != nil && l.conn.Broken() {
 		return false
 	}
 	for _, a := range call {
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -52,6 +52,7 @@
 	dialed bool
 	opened time.Time
 
+	muted         atomic.Bool // we closed it: nothing more is heard
 	unhandled     atomic.Int64
 	in, reads     atomic.Int64
 	local, remote net.Addr
@@ -66,6 +67,7 @@
 	writes  int64
 	pending []byte // what the kernel did not take at once
 	writing bool   // a goroutine is draining pending
+	broken  bool   // a write has failed
 	told    bool   // Ended has been posted
 }
 
@@ -81,7 +83,7 @@
 // RemoteAddr is the peer's address.
 func (c *Conn) RemoteAddr() net.Addr { return c.remote }
 
-// readable runs on the poller's goroutine and must take all there is.
+// readable runs on the worker's goroutine and must take all there is.
 func (c *Conn) readable() {
 	r := c.nc.Reader()
 	n := r.Len()
@@ -103,7 +105,9 @@
 	}
 	c.post.Post(func() {
 		c.unhandled.Add(-int64(n))
-		if !c.ended() {
+		// A peer's last words count, though it has left since; after an end of our
+		// own nothing does.
+		if !c.muted.Load() {
 			c.h.Data(b)
 		}
 	})
@@ -174,7 +178,7 @@
 	c.mu.Lock()
 	c.queued += int64(len(b))
 	end := c.queued
-	if c.closed || c.end != Open || len(b) == 0 {
+	if c.closed || c.end != Open || c.broken || len(b) == 0 {
 		c.mu.Unlock()
 		return end
 	}
@@ -185,7 +189,11 @@
 		c.written += int64(n)
 		b = b[n:]
 		if err != nil {
-			fail = WriteFailed
+			// The poller will tell of the end; until then, what the peer said before
+			// may still be heard. Nobody polls a half-closed connection.
+			if c.broken, b = true, nil; c.raw {
+				fail = WriteFailed
+			}
 		}
 	}
 	if fail == Open && len(b) > 0 {
@@ -270,6 +278,13 @@
 	return nil
 }
 
+// Broken reports whether nothing more can be written.
+func (c *Conn) Broken() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.broken || c.end != Open
+}
+
 // Written reports whether all bytes up to the offset may have reached the peer.
 func (c *Conn) Written(offset int64) bool {
 	c.mu.Lock()
@@ -292,6 +307,7 @@
 		return
 	}
 	c.end = e
+	c.muted.Store(true)
 	raw := c.raw
 	if raw {
 		c.closed = true
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -209,6 +209,40 @@
 	wait(t, "nothing waits", c.Idle)
 }
 
+// TestLastWordsAreHeard has the peer answer and leave before the owner has had a
+// turn: what it said still comes, and before the end.
+func TestLastWordsAreHeard(t *testing.T) {
+	for _, linger := range []int{-1, 0} { // leaving in order, and by a reset
+		o := make(owner, 1000) // nothing is run until the test does
+		n := NewNet(o, 10, nil)
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = ln.Close() })
+		h := &heard{}
+		var c *Conn
+		n.Dial(ln.Addr().String(), time.Second, h, func(got *Conn, _ End) { c = got })
+		peer, err := ln.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		(<-o)()
+		_, _ = io.WriteString(peer, "last words")
+		wait(t, "the words are read", func() bool { return c.in.Load() > 0 })
+		_ = peer.(*net.TCPConn).SetLinger(linger)
+		_ = peer.Close()
+		wait(t, "the end is seen", c.ended)
+		c.Write([]byte("too late"))
+		for len(h.ends) == 0 {
+			(<-o)()
+		}
+		if h.data != "last words" {
+			t.Errorf("linger %d: heard %q before %v", linger, h.data, h.ends)
+		}
+	}
+}
+
 func TestDialsThatFail(t *testing.T) {
 	n := NewNet(newOwner(t), 1, nil)
 	dial := func(addr string) End {
