--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -25,7 +25,6 @@
 	ConnIdle       time.Duration
 	ConnectTimeout time.Duration
 	StreamsPerConn int
-	GraceToAnswer  time.Duration // how long after the client's time an answer still counts
 }
 
 // span is a time in seconds.
@@ -95,7 +94,6 @@
 	} `json:"caps"`
 	Rules struct {
 		AskWithin  span    `json:"ask_within"`
-		Grace      span    `json:"grace_to_answer"`
 		Cold       span    `json:"cold"`
 		ColdFrom   float64 `json:"cold_from"`
 		DrainGrace span    `json:"drain_grace"`
@@ -119,7 +117,7 @@
 	out := Settings{
 		LoadFields: b.Feedback.Fields, Zones: b.Zones, Shards: b.Info.Ranges,
 		ConnIdle: time.Duration(b.Caps.ConnIdle), ConnectTimeout: time.Duration(b.Caps.ConnectTimeout),
-		StreamsPerConn: b.Caps.StreamsPerConn, GraceToAnswer: time.Duration(b.Rules.Grace),
+		StreamsPerConn: b.Caps.StreamsPerConn,
 	}
 	s := &out.Module
 	*s = decide.Settings{
