Write to a half-closed client only while its descriptor is ours

Found by reading: transport/conn.go drain kept the number of a half-closed connection's descriptor while Close could give it back, so late bytes might reach another connection. It now looks under the lock, before each write.

--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -15,7 +15,7 @@
 const (
 	maxPending   = 1 << 20               // bytes that may wait for a peer that reads slowly
 	maxUnhandled = 1 << 20               // bytes read that wait for the owner's goroutine
-	stallTime    = 2 * time.Second       // how long a peer may take nothing of what waits for it
+	stallTime    = 2 * time.Second       // how long a peer may take for what waits for it
 	lingerCheck  = 50 * time.Millisecond // pace at which a half-closed connection is looked at
 )
 
@@ -241,19 +241,22 @@
 			c.mu.Unlock()
 			return
 		}
-		b, raw, fd := c.pending, c.raw, c.fd
+		b, raw := c.pending, c.raw
 		c.pending = nil
 		// How much of a failed flush was taken is not told: the rest may have run.
 		c.written += int64(len(b))
 		c.mu.Unlock()
-		if err := c.flush(b, raw, fd); err != nil {
+		if err := c.flush(b, raw); err != nil {
 			c.Close(PeerStalled)
+			c.mu.Lock()
+			c.writing = false
+			c.mu.Unlock()
 			return
 		}
 	}
 }
 
-func (c *Conn) flush(b []byte, raw bool, fd int) error {
+func (c *Conn) flush(b []byte, raw bool) error {
 	if !raw {
 		if err := c.nc.SetWriteTimeout(stallTime); err != nil {
 			return err
@@ -264,7 +267,7 @@
 		return c.nc.Writer().Flush()
 	}
 	for until := time.Now().Add(stallTime); len(b) > 0; {
-		n, err := writeNow(fd, b)
+		n, err := c.writeRaw(b)
 		if err != nil {
 			return err
 		}
@@ -278,6 +281,17 @@
 	return nil
 }
 
+// writeRaw guards against writing to a descriptor that has been closed, and
+// whose number another connection may have by now.
+func (c *Conn) writeRaw(b []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return 0, net.ErrClosed
+	}
+	return writeNow(c.fd, b)
+}
+
 // Broken reports whether nothing more can be written.
 func (c *Conn) Broken() bool {
 	c.mu.Lock()
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -209,6 +209,23 @@
 	wait(t, "nothing waits", c.Idle)
 }
 
+// TestAHalfClosedPeerThatDoesNotRead is closed in the end, and its descriptor's
+// number, which others get, is not written to any more.
+func TestAHalfClosedPeerThatDoesNotRead(t *testing.T) {
+	c, h, peer := accepted(t)
+	_ = peer.CloseWrite()
+	wait(t, "the half close is told", func() bool { var half bool; h.with(func() { half = h.half }); return half })
+	for c.Idle() {
+		c.Write([]byte(strings.Repeat("x", 64<<10)))
+	}
+	c.Close(LocalStop)
+	h.ended(t, LocalStop)
+	if _, err := c.writeRaw([]byte("x")); err == nil {
+		t.Error("written to a closed descriptor")
+	}
+	wait(t, "the drain stops", func() bool { c.mu.Lock(); defer c.mu.Unlock(); return !c.writing })
+}
+
 // TestLastWordsAreHeard has the peer answer and leave before the owner has had a
 // turn: what it said still comes, and before the end.
 func TestLastWordsAreHeard(t *testing.T) {
