Name what the fronts and the dialling packages share once

They stand in internal/front and internal/transport now. RemoteAddr, which nobody called, is gone. No behaviour changes.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -70,15 +70,10 @@
 	ListLost()
 }
 
-// Dialer opens connections without blocking.
-type Dialer interface {
-	Dial(addr string, timeout time.Duration, h transport.Handler, done func(*transport.Conn, transport.End))
-}
-
 // Client asks discovery. It implements broker.Directory.
 type Client struct {
 	core     Core
-	net      Dialer
+	net      transport.Dialer
 	addr     string
 	zones    map[string]int
 	unixZero time.Time // the Unix time at which the module's clock stood at 0
@@ -102,7 +97,7 @@
 
 // New returns a Client. ZeroAt is the Unix time at which the module's clock
 // stands at 0.
-func New(core Core, net Dialer, addr string, zones []string, zeroAt time.Time, log zerolog.Logger) *Client {
+func New(core Core, net transport.Dialer, addr string, zones []string, zeroAt time.Time, log zerolog.Logger) *Client {
 	c := &Client{core: core, net: net, addr: addr, zones: map[string]int{}, unixZero: zeroAt, log: log}
 	for i, z := range zones {
 		c.zones[z] = i
--- a/internal/front/flight/flight.go
+++ b/internal/front/flight/flight.go
@@ -39,29 +39,11 @@
 	callTime   = 10 * time.Second // a call's message must be whole within it
 	readTime   = 5 * time.Second  // an answer must be taken within it
 	maxIdle    = time.Minute      // a connection without calls is closed after it
-	sweepPace  = 250 * time.Millisecond
-	resetWait  = 20 * time.Millisecond // by when a client that has closed answers a ping with a reset
 )
 
-// Core is what this package needs of the core.
-type Core interface {
-	Now() time.Duration
-	After(d time.Duration, fn func())
-	Take(q broker.Query) (broker.Verdict, *broker.Handle)
-	Post(fn func())
-}
-
-// Conn is a connection to a client.
-type Conn interface {
-	Write(b []byte) int64
-	Close(e transport.End)
-	Idle() bool
-	CloseIfGone()
-}
-
 // Front serves Flight clients.
 type Front struct {
-	core    Core
+	core    front.Core
 	classes map[string]int
 	set     []decide.Class
 	log     zerolog.Logger
@@ -72,7 +54,7 @@
 }
 
 // New returns a Front for the classes. Seed is for the ids that it gives.
-func New(core Core, classes []decide.Class, seed uint64, log zerolog.Logger) (*Front, error) {
+func New(core front.Core, classes []decide.Class, seed uint64, log zerolog.Logger) (*Front, error) {
 	schema, err := columns.SchemaBytes()
 	if err != nil {
 		return nil, err
@@ -82,12 +64,12 @@
 }
 
 // Start begins to look after connections.
-func (f *Front) Start() { f.core.After(sweepPace, f.sweep) }
+func (f *Front) Start() { f.core.After(front.SweepPace, f.sweep) }
 
 // client is one connection.
 type client struct {
 	f     *Front
-	conn  Conn
+	conn  front.Conn
 	h2    *h2.Conn
 	calls map[*call]struct{}
 	half  bool          // the client sends nothing more
@@ -112,7 +94,7 @@
 
 // Accept takes a new connection. Unlike all else here, it may be called on any
 // goroutine.
-func (f *Front) Accept(conn Conn) transport.Handler {
+func (f *Front) Accept(conn front.Conn) transport.Handler {
 	c := &client{f: f, conn: conn, calls: map[*call]struct{}{}}
 	f.core.Post(func() {
 		c.used = f.core.Now()
@@ -365,7 +347,7 @@
 		return
 	}
 	c.h2.Ping()
-	c.f.core.After(resetWait, c.conn.CloseIfGone)
+	c.f.core.After(front.ResetWait, c.conn.CloseIfGone)
 }
 
 // Ended implements transport.Handler.
@@ -403,7 +385,7 @@
 			c.conn.Close(transport.LocalIdle)
 		}
 	}
-	f.core.After(sweepPace, f.sweep)
+	f.core.After(front.SweepPace, f.sweep)
 }
 
 // Stop lets clients open no new calls and closes each connection once it rests.
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -22,31 +22,13 @@
 const (
 	maxBuffered = http1.MaxHead + 2*http1.MaxBody // bytes of requests that wait for an answer before them
 	headTime    = 10 * time.Second                // a request that has begun must be whole within it
-	sweepPace   = 250 * time.Millisecond
-	drainQuiet  = 100 * time.Millisecond // how long a connection rests before it is closed at the end
-	resetWait   = 20 * time.Millisecond  // by when a client that has closed answers the first bytes with a reset
-	version     = "HTTP/1.1 "            // what every response begins with
+	drainQuiet  = 100 * time.Millisecond          // how long a connection rests before it is closed at the end
+	version     = "HTTP/1.1 "                     // what every response begins with
 )
 
-// Core is what this package needs of the core.
-type Core interface {
-	Now() time.Duration
-	After(d time.Duration, fn func())
-	Take(q broker.Query) (broker.Verdict, *broker.Handle)
-	Post(fn func())
-}
-
-// Conn is a connection to a client.
-type Conn interface {
-	Write(b []byte) int64
-	Close(e transport.End)
-	CloseIfGone()
-	Idle() bool
-}
-
 // Front serves clients.
 type Front struct {
-	core    Core
+	core    front.Core
 	classes map[string]int
 	set     []decide.Class
 	log     zerolog.Logger
@@ -58,20 +40,20 @@
 
 // New returns a Front for the classes. It answers that it is ready once Ready
 // is called. Crowded tells that there is hardly room for more connections.
-func New(core Core, classes []decide.Class, crowded func() bool, log zerolog.Logger) *Front {
+func New(core front.Core, classes []decide.Class, crowded func() bool, log zerolog.Logger) *Front {
 	return &Front{core: core, crowded: crowded, classes: front.Classes(classes), set: classes, log: log, clients: map[*client]struct{}{}}
 }
 
 // Ready lets health checks pass and starts to look after connections.
 func (f *Front) Ready() {
 	f.ready = true
-	f.core.After(sweepPace, f.sweep)
+	f.core.After(front.SweepPace, f.sweep)
 }
 
 // client is one connection and its requests, answered one after another.
 type client struct {
 	f       *Front
-	conn    Conn
+	conn    front.Conn
 	parser  *http1.Parser
 	open    *request // the one that is being answered
 	half    bool     // the client sends nothing more
@@ -91,7 +73,7 @@
 
 // Accept takes a new connection. Unlike all else here, it may be called on any
 // goroutine.
-func (f *Front) Accept(conn Conn) transport.Handler {
+func (f *Front) Accept(conn front.Conn) transport.Handler {
 	c := &client{f: f, conn: conn, parser: http1.NewRequestParser()}
 	f.core.Post(func() {
 		c.rest = f.core.Now()
@@ -353,7 +335,7 @@
 	}
 	c.begins = true
 	c.conn.Write([]byte(version))
-	c.f.core.After(resetWait, c.conn.CloseIfGone)
+	c.f.core.After(front.ResetWait, c.conn.CloseIfGone)
 }
 
 // Ended implements transport.Handler.
@@ -381,7 +363,7 @@
 			c.end()
 		}
 	}
-	f.core.After(sweepPace, f.sweep)
+	f.core.After(front.SweepPace, f.sweep)
 }
 
 // Stop answers what is open and closes each connection once it rests.
--- a/internal/front/query.go
+++ b/internal/front/query.go
@@ -11,6 +11,7 @@
 
 	"kiteloft/decide"
 	"kiteloft/internal/broker"
+	"kiteloft/internal/transport"
 )
 
 var json = jsoniter.ConfigCompatibleWithStandardLibrary
@@ -26,6 +27,29 @@
 // CrowdedWait is how long a client is told to stay away when too much is open.
 const CrowdedWait = 250 * time.Millisecond
 
+// Core is what a front needs of the core.
+type Core interface {
+	Now() time.Duration
+	After(d time.Duration, fn func())
+	Take(q broker.Query) (broker.Verdict, *broker.Handle)
+	Post(fn func())
+}
+
+// Conn is a connection to a client.
+type Conn interface {
+	Write(b []byte) int64
+	Close(e transport.End)
+	CloseIfGone()
+	Idle() bool
+}
+
+const (
+	// SweepPace is how often a front looks after connections that no event comes for.
+	SweepPace = 250 * time.Millisecond
+	// ResetWait is by when a client that has closed answers what is sent with a reset.
+	ResetWait = 20 * time.Millisecond
+)
+
 type body struct {
 	Slices []struct {
 		Slice  *int     `json:"slice"`
--- a/internal/ipfix/exporter.go
+++ b/internal/ipfix/exporter.go
@@ -23,17 +23,12 @@
 	After(d time.Duration, fn func())
 }
 
-// Dialer opens connections without blocking.
-type Dialer interface {
-	Dial(addr string, timeout time.Duration, h transport.Handler, done func(*transport.Conn, transport.End))
-}
-
 // Exporter sends a record of each connection that has ended to a collector, over
 // TCP: on the platform UDP reaches only other mixers. All of it runs on the
 // core's goroutine.
 type Exporter struct {
 	core    Core
-	net     Dialer
+	net     transport.Dialer
 	addr    string
 	stream  Stream
 	log     zerolog.Logger
@@ -45,7 +40,7 @@
 
 // NewExporter returns an Exporter whose observation domain is made from the
 // mixer's name.
-func NewExporter(core Core, net Dialer, addr, name string, log zerolog.Logger) *Exporter {
+func NewExporter(core Core, net transport.Dialer, addr, name string, log zerolog.Logger) *Exporter {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(name)) // never fails
 	return &Exporter{core: core, net: net, addr: addr, stream: Stream{Domain: h.Sum32()}, log: log}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -39,11 +39,6 @@
 	Ended(a *broker.Attempt, o decide.Outcome, score int64, value []byte)
 }
 
-// Dialer opens connections without blocking.
-type Dialer interface {
-	Dial(addr string, timeout time.Duration, h transport.Handler, done func(*transport.Conn, transport.End))
-}
-
 // Session is what is said on one connection.
 type Session interface {
 	// Send writes a call.
@@ -67,7 +62,7 @@
 // Links holds the connections to all nodes. It implements broker.Nodes.
 type Links struct {
 	core      Core
-	net       Dialer
+	net       transport.Dialer
 	lim       Limits
 	log       zerolog.Logger
 	protocols map[string]Protocol // by the scheme of the node's address
@@ -106,7 +101,7 @@
 
 // New returns Links without connections. Protocols are found by the scheme of a
 // node's address, "" where it has none.
-func New(core Core, net Dialer, lim Limits, protocols map[string]Protocol, log zerolog.Logger) *Links {
+func New(core Core, net transport.Dialer, lim Limits, protocols map[string]Protocol, log zerolog.Logger) *Links {
 	return &Links{core: core, net: net, lim: lim, log: log, protocols: protocols, peers: map[string]*peer{}}
 }
 
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -80,9 +80,6 @@
 	return c
 }
 
-// RemoteAddr is the peer's address.
-func (c *Conn) RemoteAddr() net.Addr { return c.remote }
-
 // readable runs on the worker's goroutine and must take all there is.
 func (c *Conn) readable() {
 	r := c.nc.Reader()
--- a/internal/transport/net.go
+++ b/internal/transport/net.go
@@ -77,6 +77,11 @@
 	go worker.run()
 }
 
+// Dialer opens connections without blocking.
+type Dialer interface {
+	Dial(addr string, timeout time.Duration, h Handler, done func(*Conn, End))
+}
+
 // Net opens and accepts connections for one owner.
 type Net struct {
 	post  Poster
