Drop a loop that shed has done already, and answer HEAD by the same path

broker/step.go follow deleted the parts that shed, just before, had deleted: shed ends every attempt, so none is out. The platform front wrote the answer to HEAD by a copy of reply; both go through respond now.

--- a/internal/broker/step.go
+++ b/internal/broker/step.go
@@ -217,11 +217,6 @@
 	first := len(q.parts)
 	c.shed(q)
 	q.second, q.whole = true, whole
-	for _, p := range q.parts {
-		if p.out == 0 {
-			delete(c.parts, p.id)
-		}
-	}
 	var next []QueryPart
 	for _, p := range in {
 		next = append(next, QueryPart{Shard: p.shard, Weight: 1 / float64(len(in))})
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -162,7 +162,7 @@
 		case path == "/health/ready" && (!c.f.ready || c.f.closing):
 			text(503, "not ready")
 		case m.Method == "HEAD":
-			c.replyHead(200, "text/plain", 3, 0, m.Close)
+			c.respond(200, "text/plain", 3, nil, 0, m.Close)
 		default:
 			text(200, "ok")
 		}
@@ -271,17 +271,14 @@
 }
 
 func (c *client) reply(status int, kind string, body []byte, after time.Duration, closes bool) {
-	closes = closes || c.f.closing || c.half && !c.parser.Started()
-	c.write(append(head(status, kind, len(body), after, closes), body...))
-	c.rest = c.f.core.Now()
-	if closes {
-		c.end()
-	}
+	c.respond(status, kind, len(body), body, after, closes)
 }
 
-func (c *client) replyHead(status int, kind string, length int, after time.Duration, closes bool) {
-	closes = closes || c.f.closing
-	c.write(head(status, kind, length, after, closes))
+// respond sends a response; the answer to HEAD has a length and no body.
+func (c *client) respond(status int, kind string, length int, body []byte, after time.Duration, closes bool) {
+	closes = closes || c.f.closing || c.half && !c.parser.Started()
+	c.write(append(head(status, kind, length, after, closes), body...))
+	c.rest = c.f.core.Now()
 	if closes {
 		c.end()
 	}
