Read the configuration again on SIGHUP and follow discovery at its new address

Checked: no file mentioned SIGHUP; LB_DISCOVERY, which names the old address for good, won over the file, so a plain second Load would have kept it. Fault: cmd/kiteloft/main.go notified SIGTERM and SIGINT only; config.parse let the environment win. Change: config.Reload lets the file win; discovery.Client.Move ends the old watch, asks the new address for the whole list, then watches it, and begins again at once while what it tells counts as told. Nodes and queries stay. A faulty file is logged and changes nothing. Test: TestHangUpMovesDiscovery; without the notification the mixer ends at the first signal.

--- a/cmd/kiteloft/bed_test.go
+++ b/cmd/kiteloft/bed_test.go
@@ -176,6 +176,8 @@
 	deaf           chan struct{} // while it is open, nobody reads the log; nil: somebody does
 	cmd            *exec.Cmd
 	exit           chan error
+	configure      func(discovery string) // writes the configuration anew
+	calls          map[string]int         // calls of discovery, by its address
 
 	mu       sync.Mutex
 	revision int
@@ -213,16 +215,11 @@
 
 func (b *bed) run(t *testing.T, settings string) {
 	t.Helper()
-	b.revision = 1
-	discovery := httptest.NewServer(http.HandlerFunc(b.discover))
-	t.Cleanup(discovery.Close)
-	t.Cleanup(discovery.CloseClientConnections)
+	b.revision, b.calls = 1, map[string]int{}
+	first := b.directory(t)
 	dir := t.TempDir()
 	known, _ := json.Marshal(map[string]any{"revision": 1, "complete": true, "members": b.members})
-	config := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":"%s","seed":"8c1f30d27a5be964",
-"limits":{"cores":1,"memory_mb":192,"sockets":%d},"known":%s,"settings":%s}`, discovery.Listener.Addr(), cmp.Or(b.sockets, 1024),
-		known, settings)
-	write := func(name, text string) string {
+	write := func(name, text string) {
 		path := filepath.Join(dir, name)
 		if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
 			t.Fatal(err)
@@ -230,12 +227,16 @@
 		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
-		return path
 	}
 	write("deploy/broker.toml", "[flight]\nlisten = \"127.0.0.1:0\"\n[ipfix]\ncollector = \""+b.collector+"\"\n")
+	b.configure = func(discovery string) {
+		write("config.json", fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":"%s","seed":"8c1f30d27a5be964",
+"limits":{"cores":1,"memory_mb":192,"sockets":%d},"known":%s,"settings":%s}`, discovery, cmp.Or(b.sockets, 1024), known, settings))
+	}
+	b.configure(first)
 	b.cmd = exec.Command(program)
 	b.cmd.Dir = dir
-	b.cmd.Env = append(os.Environ(), "LB_CONFIG="+write("config.json", config))
+	b.cmd.Env = append(os.Environ(), "LB_CONFIG="+filepath.Join(dir, "config.json"), "LB_DISCOVERY="+first)
 	stderr, err := b.cmd.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
@@ -279,6 +280,14 @@
 	})
 }
 
+// directory starts a discovery and returns its address.
+func (b *bed) directory(t *testing.T) string {
+	d := httptest.NewServer(http.HandlerFunc(b.discover))
+	t.Cleanup(d.Close)
+	t.Cleanup(d.CloseClientConnections)
+	return d.Listener.Addr().String()
+}
+
 func (b *bed) addr(s *string) string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -324,6 +333,7 @@
 	timer := time.After(time.Duration(hold) * time.Millisecond)
 	b.mu.Lock()
 	b.asked = append(b.asked, time.Now())
+	b.calls[r.Host]++
 	b.mu.Unlock()
 	for late := hold == 0; ; {
 		b.mu.Lock()
@@ -368,6 +378,24 @@
 	b.news = make(chan struct{})
 }
 
+// logged counts the log lines of a message.
+func (b *bed) logged(message string) (n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, line := range b.logs {
+		if strings.Contains(line, `"message":"`+message) {
+			n++
+		}
+	}
+	return n
+}
+
+func (b *bed) called(discovery string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.calls[discovery]
+}
+
 func (b *bed) parts() (all []part) {
 	for _, n := range b.nodes {
 		all = append(all, n.parts()...)
--- a/cmd/kiteloft/main.go
+++ b/cmd/kiteloft/main.go
@@ -51,6 +51,7 @@
 	})
 	defer func() { _ = out.Close() }() // nobody is left to tell
 	log := zerolog.New(out).With().Timestamp().Logger()
+	sig := notify()
 	cfg, err := config.Load(os.Getenv, brokerFile)
 	if err != nil {
 		log.Error().Err(err).Msg("configuration is faulty")
@@ -58,7 +59,7 @@
 	}
 	log = log.With().Str("mixer", cfg.Name).Logger()
 	transport.LogTo(log.With().Str("from", "netpoll").Logger())
-	if err := serve(cfg, log); err != nil {
+	if err := serve(cfg, sig, log); err != nil {
 		log.Error().Err(err).Msg("mixer failed")
 		return 1
 	}
@@ -74,7 +75,35 @@
 	l.Warn().Str("rule", rule).Str("id", id).Str("about", about).Msg("a guard of the core stepped in")
 }
 
-func serve(cfg config.Config, log zerolog.Logger) error {
+// signals are what the platform may send. A hang-up must not wait behind an end,
+// nor the other way round; one that waits stands for all that come meanwhile.
+type signals struct{ end, again chan os.Signal }
+
+func notify() signals {
+	s := signals{make(chan os.Signal, 1), make(chan os.Signal, 1)}
+	signal.Notify(s.end, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(s.again, syscall.SIGHUP)
+	return s
+}
+
+// reload reads the configuration again and returns the one that holds from now.
+func reload(old config.Config, move func(addr string), log zerolog.Logger) config.Config {
+	cfg, err := config.Reload(os.Getenv, brokerFile)
+	if err != nil {
+		// Guards the service against a file that is wrong or half written.
+		log.Error().Err(err).Msg("new configuration is faulty, the old one stays")
+		return old
+	}
+	for _, key := range old.Fixed(cfg) {
+		log.Warn().Str("key", key).Msg("changed key takes effect at the next start")
+	}
+	log.Info().Str("discovery", cfg.Discovery).Msg("configuration read again")
+	old.Discovery = cfg.Discovery
+	move(cfg.Discovery)
+	return old
+}
+
+func serve(cfg config.Config, sig signals, log zerolog.Logger) error {
 	runtime.GOMAXPROCS(1) // we are given one core
 	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.MemoryMB) * (1 << 20)))
 
@@ -125,10 +154,16 @@
 	log.Info().Str("listen", ln.Addr().String()).Int("nodes", len(cfg.Known.Members)).Msg("mixer serves")
 
 	stop := make(chan struct{})
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
-		<-signals
+		held := cfg
+		for ending := false; !ending; {
+			select {
+			case <-sig.again:
+				held = reload(held, func(addr string) { core.Post(func() { dir.Move(addr) }) }, log)
+			case <-sig.end:
+				ending = true // from here on, a hang-up means nothing
+			}
+		}
 		log.Info().Msg("mixer ends: told to")
 		core.Post(func() {
 			core.After(acceptOn, func() {
--- /dev/null
+++ b/cmd/kiteloft/reload_test.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"syscall"
+	"testing"
+	"time"
+)
+
+// TestHangUpMovesDiscovery replaces the configuration under a query: the new
+// address is followed, what it tells counts, a faulty file changes nothing, and
+// the query is answered.
+func TestHangUpMovesDiscovery(t *testing.T) {
+	t.Parallel()
+	b := start(t, platformWire{}, func(p part) reply { r := sound(p); r.after = time.Second; return r })
+	hangUp := func() {
+		t.Helper()
+		if err := b.cmd.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+	}
+	open := make(chan result, 1)
+	go func() {
+		open <- (platformWire{}).ask(t, b, query{class: "lookup", shards: []int{1, 2}, deadline: 4 * time.Second})
+	}()
+	b.wait(t, "the query is with the nodes", func() bool { return len(b.parts()) > 0 })
+
+	b.configure("nowhere")
+	hangUp()
+	b.wait(t, "the fault is logged", func() bool { return b.logged("new configuration is faulty") == 1 })
+
+	for i := range 2 { // it may come again
+		next := b.directory(t)
+		b.configure(next)
+		hangUp()
+		hangUp()
+		// The whole list, then a watch.
+		b.wait(t, "the new address is followed", func() bool { return b.called(next) >= 2 })
+		if i == 1 {
+			b.tell(0, "leaving")
+			b.wait(t, "the watch there goes on", func() bool { return b.called(next) >= 3 })
+		}
+	}
+	if r := <-open; r.kind != "served" {
+		t.Errorf("client got %+v", r)
+	}
+	before := len(b.nodes[0].parts())
+	for range 4 {
+		if r := (platformWire{}).ask(t, b, query{class: "lookup", shards: []int{1}, deadline: 4 * time.Second}); r.kind != "served" {
+			t.Errorf("client got %+v", r)
+		}
+	}
+	if n := len(b.nodes[0].parts()); n != before {
+		t.Errorf("%d parts went to a node that drains", n-before)
+	}
+	if err := b.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	hangUp() // meets the end
+	if err := <-b.exit; err != nil {
+		t.Errorf("the mixer ended with %v", err)
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"reflect"
 	"strconv"
 
 	"github.com/BurntSushi/toml"
@@ -42,6 +43,25 @@
 	maxFile         = 64 << 20
 )
 
+// Fixed names the keys in which the new configuration differs though they hold
+// from one start to the next.
+func (c Config) Fixed(next Config) (keys []string) {
+	for _, k := range []struct {
+		name string
+		same bool
+	}{
+		{"name", c.Name == next.Name}, {"listen", c.Listen == next.Listen},
+		{"limits", c.Cores == next.Cores && c.MemoryMB == next.MemoryMB && c.Sockets == next.Sockets},
+		{"settings", reflect.DeepEqual(c.Settings, next.Settings)},
+		{"flight.listen", c.FlightListen == next.FlightListen}, {"ipfix.collector", c.IPFIXCollector == next.IPFIXCollector},
+	} {
+		if !k.same {
+			keys = append(keys, k.name)
+		}
+	}
+	return keys
+}
+
 // file is LB_CONFIG's.
 type file struct {
 	Name      string `json:"name"`
@@ -70,6 +90,16 @@
 // Load reads the environment, the file that LB_CONFIG names, and the project's
 // own file at tomlPath, which may be missing.
 func Load(getenv func(string) string, tomlPath string) (Config, error) {
+	return read(getenv, tomlPath, false)
+}
+
+// Reload reads the same again while the program runs. The file is newer than the
+// environment, so it wins where it names a key.
+func Reload(getenv func(string) string, tomlPath string) (Config, error) {
+	return read(getenv, tomlPath, true)
+}
+
+func read(getenv func(string) string, tomlPath string, again bool) (Config, error) {
 	path := getenv("LB_CONFIG")
 	if path == "" {
 		return Config{}, errors.New("LB_CONFIG is not set")
@@ -85,23 +115,24 @@
 	if err != nil {
 		return Config{}, fmt.Errorf("LB_CONFIG: %w", err)
 	}
-	c, err := parse(text, getenv)
+	c, err := parse(text, getenv, again)
 	if err != nil {
 		return Config{}, err
 	}
 	return c, c.readTOML(tomlPath)
 }
 
-func parse(text []byte, getenv func(string) string) (c Config, err error) {
+func parse(text []byte, getenv func(string) string, again bool) (c Config, err error) {
 	var f file
 	if err := json.Unmarshal(text, &f); err != nil {
 		return c, fmt.Errorf("LB_CONFIG: %w", err)
 	}
 	c = Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Cores: f.Limits.Cores,
 		MemoryMB: int64(f.Limits.MemoryMB), Sockets: int(f.Limits.Sockets)}
-	// The environment says the same as the file; where they differ, it wins.
+	// At the start the environment says the same as the file; where they differ, it
+	// wins.
 	for key, v := range map[string]*string{"LB_NAME": &c.Name, "LB_LISTEN": &c.Listen, "LB_DISCOVERY": &c.Discovery} {
-		if s := getenv(key); s != "" {
+		if s := getenv(key); s != "" && !(again && *v != "") {
 			*v = s
 		}
 	}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -22,7 +22,9 @@
 	hold           = 10 * time.Second        // how long a watch may wait for news
 	patience       = 1500 * time.Millisecond // how much longer than that an answer may take; a call waits its turn for 1 s
 	connectTimeout = time.Second
-	maxList        = 8 << 20 // bytes of a list that we take
+	maxList        = 8 << 20                // bytes of a list that we take
+	moveTime       = 4 * time.Second        // by when what a new address has to tell counts as told
+	movePace       = 200 * time.Millisecond // between calls to a new address that fail within it
 	path           = "/registry/instances"
 )
 
@@ -81,6 +83,8 @@
 	revision int64
 	watch    *call // nil: no watch is under way
 	lost     bool
+	moves    int           // changes of addr
+	eager    time.Duration // until when a failed watch is begun again at once
 }
 
 // call is a connection with at most one request out.
@@ -91,6 +95,8 @@
 	request string
 	watch   bool
 	over    bool
+	whole   bool // the watch begins with the whole list
+	move    int  // the client's moves when it began
 	seq     int  // of the request that is out
 	goesOn  bool // the watch has had its first answer, which comes at once
 }
@@ -136,18 +142,37 @@
 		old.end()
 	}
 	if on {
-		c.watch = &call{c: c, watch: true}
-		c.watch.ask()
+		c.begin(false)
 	}
 }
 
+func (c *Client) begin(whole bool) {
+	c.watch = &call{c: c, watch: true, whole: whole, move: c.moves}
+	c.watch.ask()
+}
+
+// Move follows the list at another address from now on. What the old one told
+// stands until the new one tells otherwise. A new address may count revisions its
+// own way, so it is asked for the whole list first.
+func (c *Client) Move(addr string) {
+	if addr == c.addr {
+		return
+	}
+	if c.watch != nil {
+		c.watch.end()
+	}
+	c.addr, c.eager = addr, c.core.Now()+moveTime
+	c.moves++
+	c.begin(true)
+}
+
 // Read implements broker.Directory.
-func (c *Client) Read() { (&call{c: c}).ask() }
+func (c *Client) Read() { (&call{c: c, move: c.moves}).ask() }
 
 // ask sends the request, on a new connection if none is open.
 func (k *call) ask() {
 	target, wait := path, time.Duration(0)
-	if k.watch {
+	if k.watch && !k.whole {
 		if k.goesOn {
 			wait = hold
 		}
@@ -202,9 +227,22 @@
 	}
 	if !k.c.lost {
 		k.c.lost = true
-		k.c.log.Warn().Str("why", why).Msg("discovery does not answer")
+		k.c.log.Warn().Str("why", why).Str("discovery", k.c.addr).Msg("discovery does not answer")
+	}
+	switch {
+	case k.move != k.c.moves: // a single call that went to the old address
+		k.c.Read()
+	case k.watch && k.c.core.Now() < k.c.eager:
+		// Guards the told-times after a move: the module's own pauses are longer than
+		// what is allowed then.
+		k.c.core.After(movePace, func() {
+			if k.c.watch == nil && k.move == k.c.moves {
+				k.c.begin(true)
+			}
+		})
+	default:
+		k.c.core.ListLost()
 	}
-	k.c.core.ListLost()
 }
 
 // Data implements transport.Handler.
@@ -242,15 +280,22 @@
 	k.seq++
 	if !k.watch {
 		k.end()
+		if k.move != k.c.moves {
+			k.c.Read() // guards against the old address's list in place of the new one's
+			return
+		}
 		k.c.Take(l)
 		return
 	}
+	if k.whole {
+		k.whole, k.c.revision = false, l.Revision
+	}
 	if m.Close {
 		conn := k.conn
 		k.conn = nil
 		k.over = true
 		conn.Close(transport.LocalDone)
-		k.c.watch = &call{c: k.c, watch: true}
+		k.c.watch = &call{c: k.c, watch: true, move: k.move}
 		k = k.c.watch
 	}
 	k.c.take(l, k)
