--- a/cmd/kiteloft/main.go
+++ b/cmd/kiteloft/main.go
@@ -122,7 +122,7 @@
 		StreamsPerConn: set.StreamsPerConn}, map[string]node.Protocol{"": node.Frames, nodeflight.Scheme: nodeflight.Protocol}, log)
 	dir := discovery.New(core, net, cfg.Discovery, set.Zones, started.Add(-clockStart), log)
 	core.Use(links, dir)
-	front := platform.New(core, set.Module.Classes, net.Crowded, log)
+	front := platform.New(core, set.Module.Classes, net, log)
 	ln, err := net.Listen(cfg.Listen, func(c *transport.Conn) transport.Handler { return front.Accept(c) })
 	if err != nil {
 		return fmt.Errorf("LB_LISTEN: %w", err)
@@ -130,7 +130,7 @@
 	listeners := []*transport.Listener{ln}
 	var columns *flight.Front
 	if cfg.FlightListen != "" {
-		if columns, err = flight.New(core, set.Module.Classes, cfg.Seed, log); err != nil {
+		if columns, err = flight.New(core, set.Module.Classes, net, cfg.Seed, log); err != nil {
 			return fmt.Errorf("flight: %w", err)
 		}
 		ln, err := net.Listen(cfg.FlightListen, func(c *transport.Conn) transport.Handler { return columns.Accept(c) })
--- a/cmd/kiteloft/protocols_test.go
+++ b/cmd/kiteloft/protocols_test.go
@@ -108,6 +108,10 @@
 			time.AfterFunc(do.after, func() {
 				switch do.end {
 				case 0:
+				case 'r': // bytes of its own
+					mu.Lock()
+					defer mu.Unlock()
+					_, _ = io.WriteString(c, strings.ReplaceAll(do.value, "ID", p.id))
 				case 'c': // half of an answer, then the end
 					mu.Lock()
 					defer mu.Unlock()
--- /dev/null
+++ b/cmd/kiteloft/spoilt_test.go
@@ -0,0 +1,102 @@
+package main
+
+import (
+	"encoding/binary"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// frame is a frame as a stock node sends it. ID stands for the part's id, which
+// is as long as idOf.
+func frame(letter byte, rest string) string {
+	n := 1 + len(strings.ReplaceAll(rest, "ID", idOf))
+	return string(binary.BigEndian.AppendUint32(nil, uint32(n))) + string(letter) + rest
+}
+
+const idOf = "0123456789abcdef.1"
+
+func raw(text string) func(part) reply {
+	return func(part) reply { return reply{end: 'r', value: text} }
+}
+
+// TestSpoiltAnswers has nodes answer with what can't be used. The part may have
+// run: it is sent elsewhere only where that may be, and its client gets the value
+// made for it or an error.
+func TestSpoiltAnswers(t *testing.T) {
+	tests := []struct{ name, text string }{
+		{"noise", "\x8e\x01\xff garbage without end"},
+		{"a length of 3 GB", "\xb2\xd0\x5e\x00" + strings.Repeat("v", 5000)},
+		{"a length that is too long", "\x00\x00\x00\x7f5ID S 1 -\nv1"},
+		{"no length at all", "\x00\x00\x00\x00"},
+		{"an unknown letter", frame('Q', "ID S 1 -\nv1")},
+		{"an unknown end", frame('5', "ID Z 1 -\nv1")},
+		{"an unknown id", frame('5', "fedcba9876543210.1 S 1 -\nv1")},
+		{"a line without end", frame('5', "ID S 1 "+strings.Repeat("-", 500))},
+		{"a line that is too short", frame('5', "ID S\nv1")},
+		{"a score that is no number", frame('5', "ID S one -\nv1")},
+		{"a value that is no text", frame('5', "ID S 1 -\n\xff\xfe")},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			b := start(t, platformWire{}, first(raw(tt.text))())
+			r := (platformWire{}).ask(t, b, query{class: "lookup", shards: []int{1}, deadline: 4 * time.Second})
+			if diff := cmp.Diff(values(1), r.values); diff != "" || r.kind != "served" {
+				t.Errorf("client got %+v: %s", r, diff)
+			}
+			attempts(t, b, 2, 2)
+			for _, n := range b.nodes {
+				n.answers(raw(tt.text))
+			}
+			if r := (platformWire{}).ask(t, b, query{class: "once", shards: []int{1}, deadline: 3 * time.Second}); r.kind != "failed" {
+				t.Errorf("a client whose part may have run got %+v", r)
+			}
+			attempts(t, b, 3, 3)
+			b.wait(t, "spoilt connections are closed", func() bool {
+				came, went := 0, 0
+				for _, n := range b.nodes {
+					c, w := n.connections()
+					came, went = came+c, went+w
+				}
+				return went >= 2 && came-went <= 1
+			})
+		})
+	}
+}
+
+// TestGoodAnswersWithMore has a node add to a good answer what does not belong to
+// it: the answer counts.
+func TestGoodAnswersWithMore(t *testing.T) {
+	good := frame('5', "ID S 1 -\nv1")
+	tests := []struct {
+		name, text string
+		conns      int // for two queries
+	}{
+		{"a second copy", good + good, 2},
+		{"noise", good + "\x8e\x01", 2},
+		{"long noise", good + strings.Repeat("\x8e", 300), 2},
+		{"a load report that can't be read", frame('5', "ID S 1 =,=;; x\nv1"), 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			b, n := alone(t, raw(tt.text), `"conn_idle":30`, `"conn_idle":30`)
+			for i := range 2 {
+				r := (platformWire{}).ask(t, b, query{class: "once", shards: []int{1}, deadline: 4 * time.Second})
+				if diff := cmp.Diff(values(1), r.values); diff != "" || r.kind != "served" {
+					t.Errorf("client got %+v: %s", r, diff)
+				}
+				attempts(t, b, i+1, i+1)
+				if tt.conns > 1 {
+					b.wait(t, "the connection is closed", func() bool { _, went := n.connections(); return went == i+1 })
+				}
+			}
+			if came, _ := n.connections(); came != tt.conns {
+				t.Errorf("%d connections, want %d", came, tt.conns)
+			}
+		})
+	}
+}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -58,6 +58,7 @@
 		m.take(e)
 	}
 	m.expire()
+	m.attend()
 	m.follow()
 	m.refill()
 	m.admit()
@@ -82,6 +83,8 @@
 		m.takePart(e)
 	case AttemptDone:
 		m.takeOutcome(e)
+	case ProbeDone:
+		m.takeProbe(e)
 	case ClientGone:
 		if q := m.ids[e.Query]; q != nil {
 			m.close(q)
@@ -98,6 +101,11 @@
 	for _, q := range m.live {
 		due = min(due, m.nextDue(q))
 	}
+	for _, s := range m.order {
+		if s.mute && !s.probing && !s.barred {
+			due = min(due, s.probeAt)
+		}
+	}
 	if due == math.MaxInt64 {
 		return
 	}
@@ -111,6 +119,9 @@
 
 func (m *Module) nextDue(q *query) time.Duration {
 	due := m.lastCall(q)
+	if t := m.halfCall(q); t > m.now && q.untouched() {
+		due = min(due, t)
+	}
 	if t := m.shortCall(q); t > m.now {
 		due = min(due, t)
 	}
@@ -409,7 +420,7 @@
 	if m.shortest > 0 && m.silence(s) > 4*m.shortest && m.set.Cold > 0 {
 		s.cold, s.coldSince = true, m.now
 	}
-	s.silentFor, s.waitSince = 0, m.now
+	s.silentFor, s.waitSince, s.mute = 0, m.now, false
 }
 
 func (m *Module) judge(s *server, a *attempt, e AttemptDone) {
@@ -475,13 +486,46 @@
 
 // suspect guards against servers that fail, refuse or stay silent, for whatever cause.
 func (m *Module) suspect(s *server) bool {
-	limit := max(time.Duration(silentAims*float64(m.shortest)),
-		time.Duration(silentLate*float64(m.lateMark(s, m.shortest))))
-	return s.fault > faultSuspect || m.silence(s) > limit
+	return s.fault > faultSuspect || s.mute || m.tooSilent(s)
+}
+
+func (m *Module) tooSilent(s *server) bool {
+	silence := m.silence(s)
+	return silence > time.Duration(silentAims*float64(m.shortest)) &&
+		silence > time.Duration(silentLate*float64(m.lateMark(s, m.shortest)))
+}
+
+// attend probes servers that have fallen silent until they are heard of again. Guards against giving such a
+// one real parts over and over: when the last part out there is called off, its silence proves nothing any
+// more and fades, though nothing shows that it is over.
+func (m *Module) attend() {
+	if !m.set.ProbesAllowed {
+		return
+	}
+	for _, s := range m.order {
+		if !s.mute && s.out > 0 && m.tooSilent(s) {
+			s.mute, s.probeAt = true, m.now
+		}
+		if s.mute && !s.probing && !s.barred && m.now >= s.probeAt {
+			s.probing = true
+			m.act(Probe{Server: s.ID})
+		}
+	}
+}
+
+func (m *Module) takeProbe(e ProbeDone) {
+	s := m.servers[e.Server]
+	if s == nil {
+		return
+	}
+	s.probing, s.probeAt = false, m.now+m.trialPause()
+	if s.mute && (e.Outcome == OK || e.Outcome == Failed || e.Outcome == Full) {
+		m.heard(s) // an error is a word, too
+	}
 }
 
 // fit tells whether the server may take the part by the offset rule: a suspect gets a repeatable part now
-// and then, as a trial, so that it is found again when it is sound.
+// and then, as a trial, so that it is found again when it is sound; a silent one is probed instead.
 func (m *Module) fit(p *part, s *server) bool {
 	if !m.allowed(p, s) {
 		return false
@@ -491,7 +535,7 @@
 		s.doubted = doubt
 		m.note("server %s suspect=%v: failing share %.2f, silent %v", s.ID, doubt, s.fault, m.silence(s))
 	}
-	return !doubt || (m.now >= s.trialAt && m.repeatable(p))
+	return !doubt || (m.now >= s.trialAt && m.repeatable(p) && !s.mute)
 }
 
 // ---- attempts: the one gate for every send ----
@@ -830,6 +874,11 @@
 	return min(q.aim, q.end) - endTicks*m.tick()
 }
 
+// halfCall is half of the query's time: a query that no server has seen is not kept for longer.
+func (m *Module) halfCall(q *query) time.Duration {
+	return q.end - q.Left/2 - endTicks*m.tick()
+}
+
 // shortCall is the moment from which a short answer earns more than waiting: just before the aim, and
 // earlier where a second step has still to be fetched.
 func (m *Module) shortCall(q *query) time.Duration {
@@ -855,7 +904,7 @@
 		m.answer(q, !q.shortFst)
 	case short && m.now >= m.shortCall(q) && q.class.ShortWorth*weight >= q.class.LateValue*q.class.Need:
 		m.answer(q, false)
-	case m.now >= m.lastCall(q) || m.hopeless(q):
+	case m.now >= m.lastCall(q) || m.hopeless(q) || m.now >= m.halfCall(q) && q.untouched():
 		if short {
 			m.answer(q, false)
 		} else {
--- a/decide/state.go
+++ b/decide/state.go
@@ -69,6 +69,9 @@
 	heardOf              time.Duration // when the latest answered attempt was sent
 	usedAt               time.Duration // last sign of life of our connection; 0: none open
 	doubted              bool          // logged as a suspect
+	mute                 bool          // fallen silent, and not heard of since
+	probing              bool          // a probe is out
+	probeAt              time.Duration // mute: when it is probed
 	coldSince            time.Duration
 	cold                 bool
 	coldSends            []time.Duration
@@ -179,6 +182,15 @@
 	return weight, all
 }
 
+// untouched tells whether no attempt of the query has reached a server, as far as is known.
+func (q *query) untouched() bool {
+	return !q.second && !slices.ContainsFunc(q.parts, func(p *part) bool {
+		return slices.ContainsFunc(p.attempts, func(a *attempt) bool {
+			return !a.over || a.outcome != ConnectFailed && a.outcome != Moot
+		})
+	})
+}
+
 func (q *query) missing() int {
 	n := 0
 	for _, p := range q.parts {
@@ -246,7 +258,7 @@
 
 func (s *server) forget(now time.Duration) {
 	s.fill, s.read, s.swapAt = newSketch(sketchAccuracy), newSketch(sketchAccuracy), now+sketchSwap
-	s.latency, s.fault, s.silentFor, s.trialAt, s.waitSince = 0, 0, 0, 0, now
+	s.latency, s.fault, s.silentFor, s.trialAt, s.waitSince, s.mute = 0, 0, 0, 0, now, false
 	s.learnedAt = now - 1000*sketchSwap // nothing is known: infinitely old
 }
 
--- a/decide/symptom_test.go
+++ b/decide/symptom_test.go
@@ -712,3 +712,69 @@
 			len(r.sent[all[2]]), len(r.sent[all[3]]))
 	}
 }
+
+// A server that takes parts and answers none must not get its share of real parts again each time that the
+// last one there is called off; a probe finds out when it is back.
+func TestSilentServersAreProbedNotTried(t *testing.T) {
+	set := testSettings()
+	set.ProbesAllowed, set.FurtherWindow = true, 0
+	r := newRig(t, set, "a", "b")
+	r.warm(20, 40*ms)
+	toA, probes := 0, 0
+	see := func(actions []Action) { // what b and the callers do at once; a never says anything
+		for _, action := range actions {
+			switch action := action.(type) {
+			case Probe:
+				probes++
+				r.step(ProbeDone{Server: action.Server, Outcome: TimedOut})
+			case Cancel:
+				r.done(action.Part, action.Attempt, Cancelled, 0)
+			case Send:
+				if action.Server == "b" {
+					n := len(r.sent[action.Part]) - 1
+					for _, a := range r.done(action.Part, n, OK, 5*ms) {
+						if c, ok := a.(Cancel); ok {
+							r.done(c.Part, c.Attempt, Cancelled, 0)
+						}
+					}
+				}
+			}
+		}
+	}
+	for range 40 {
+		_, parts := r.query(0, 1)
+		first := r.sent[parts[0]][0].Server
+		see(r.actions)
+		for range 20 {
+			r.pass(5 * ms)
+			see(r.actions)
+		}
+		if first == "a" {
+			toA++
+		}
+	}
+	if toA > 8 || probes == 0 {
+		t.Errorf("%d of 40 queries went to the silent server first, %d probes", toA, probes)
+	}
+	r.step(ProbeDone{Server: "a", Outcome: OK})
+	if s := r.m.servers["a"]; r.m.suspect(s) {
+		t.Errorf("still a suspect after its word: silent %v", r.m.silence(s))
+	}
+}
+
+// Nobody may be kept waiting past half of his time for a query that no server has seen.
+func TestQueryThatNobodySawEndsAtHalfItsTime(t *testing.T) {
+	r := newRig(t, testSettings(), "a", "b")
+	r.step(ListChange{Servers: []Server{{ID: "a", State: Stopping}, {ID: "b", State: Stopping}}})
+	began := r.now
+	_, parts := r.query(2, 1) // of a class that earns after its aim
+	for range 400 {
+		if _, ok := has[Refuse](r.actions); ok {
+			break
+		}
+		r.pass(5 * ms)
+	}
+	if len(r.sent[parts[0]]) > 0 || r.now-began > 2*time.Second {
+		t.Errorf("refused after %v of 4 s, with %d sends", r.now-began, len(r.sent[parts[0]]))
+	}
+}
--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -308,3 +308,20 @@
 		t.Errorf("answers %v, %d given up, %d held", s.answers, s.givenUp, s.Held())
 	}
 }
+
+// TestTimeLeftCountsFromTheStep has a query wait for its step: the module is
+// told what is left by then.
+func TestTimeLeftCountsFromTheStep(t *testing.T) {
+	s := play(t)
+	s.at(0)
+	s.Post(func() { s.Core.events = append(s.Core.events, decide.Woken{}) })
+	s.at(tick) // a step: the next one is a tick away
+	s.ask(t, 0)
+	s.at(2*tick - time.Millisecond)
+	s.at(2 * tick)
+	for _, e := range s.script.events {
+		if q, ok := e.(decide.QueryArrived); ok && s.Core.now+q.Left != s.queries[q.ID].end {
+			t.Errorf("told of %v left, it is %v", q.Left, s.queries[q.ID].end-s.Core.now)
+		}
+	}
+}
--- a/internal/broker/step.go
+++ b/internal/broker/step.go
@@ -23,6 +23,16 @@
 func (c *Core) step() {
 	events := c.events
 	c.events, c.stepped = nil, c.now
+	for i, e := range events {
+		// What has waited for this step has less time left: the module would end it too
+		// late otherwise.
+		if a, ok := e.(decide.QueryArrived); ok {
+			if q := c.queries[a.ID]; q != nil {
+				a.Left = q.end - c.now
+				events[i] = a
+			}
+		}
+	}
 	var calls callList
 	for _, action := range c.ask(events) {
 		switch a := action.(type) {
--- a/internal/frames/frames.go
+++ b/internal/frames/frames.go
@@ -67,6 +67,9 @@
 	return f, false, p.err
 }
 
+// Partial reports whether a frame has begun and not ended.
+func (p *Parser) Partial() bool { return len(p.buf) > 0 }
+
 // Append adds a frame to b.
 func Append(b []byte, letter byte, rest []byte) []byte {
 	b = binary.BigEndian.AppendUint32(b, uint32(1+len(rest)))
@@ -111,7 +114,7 @@
 	if !ok {
 		return Reply{}, errors.New("a result without a line")
 	}
-	f := bytes.Split(line, []byte{' '})
+	f := bytes.SplitN(line, []byte{' '}, 4) // a report is the node's own: one that can't be read spoils nothing
 	if len(f) != 4 || len(f[0]) == 0 || len(f[1]) != 1 {
 		return Reply{}, fmt.Errorf("result line %q", line)
 	}
--- a/internal/front/flight/flight.go
+++ b/internal/front/flight/flight.go
@@ -35,10 +35,8 @@
 
 const (
 	service    = "/arrow.flight.protocol.FlightService/"
-	maxMessage = 128 << 10        // bytes of a client's message: a query of 64 KiB, and its wrapping
-	callTime   = 10 * time.Second // a call's message must be whole within it
-	readTime   = 5 * time.Second  // an answer must be taken within it
-	maxIdle    = time.Minute      // a connection without calls is closed after it
+	maxMessage = 128 << 10       // bytes of a client's message: a query of 64 KiB, and its wrapping
+	readTime   = 5 * time.Second // an answer must be taken within it
 )
 
 // Front serves Flight clients.
@@ -47,6 +45,8 @@
 	classes map[string]int
 	set     []decide.Class
 	log     zerolog.Logger
+	bad     zerolog.Logger // lines on malformed calls
+	room    front.Room
 	rng     *rand.Rand
 	schema  []byte
 	clients map[*client]struct{}
@@ -54,12 +54,12 @@
 }
 
 // New returns a Front for the classes. Seed is for the ids that it gives.
-func New(core front.Core, classes []decide.Class, seed uint64, log zerolog.Logger) (*Front, error) {
+func New(core front.Core, classes []decide.Class, room front.Room, seed uint64, log zerolog.Logger) (*Front, error) {
 	schema, err := columns.SchemaBytes()
 	if err != nil {
 		return nil, err
 	}
-	return &Front{core: core, classes: front.Classes(classes), set: classes, log: log, schema: schema,
+	return &Front{core: core, classes: front.Classes(classes), set: classes, room: room, log: log, bad: front.Sampled(log), schema: schema,
 		rng: rand.New(rand.NewPCG(seed, 1)), clients: map[*client]struct{}{}}, nil
 }
 
@@ -73,6 +73,8 @@
 	h2    *h2.Conn
 	calls map[*call]struct{}
 	half  bool          // the client sends nothing more
+	asked bool          // a call has begun
+	endBy time.Duration // our last words are said: when the connection is closed; 0: they are not
 	used  time.Duration // when bytes last came
 }
 
@@ -108,8 +110,19 @@
 func (c *client) Data(b []byte) {
 	c.used = c.f.core.Now()
 	if err := c.h2.Receive(b); err != nil {
-		c.f.log.Info().Err(err).Msg("Flight client broke HTTP/2")
-		c.conn.Close(transport.BadInput)
+		c.f.bad.Info().Err(err).Msg("Flight client broke HTTP/2")
+		c.end()
+	}
+}
+
+// end closes the connection once what was written has had its time to arrive.
+func (c *client) end() {
+	if c.endBy == 0 {
+		c.endBy = c.f.core.Now() + front.LingerTime
+		for k := range c.calls {
+			c.forget(k)
+		}
+		c.conn.Finish(transport.BadInput)
 	}
 }
 
@@ -129,7 +142,7 @@
 	again := h2.Get(fields, "grpc-previous-rpc-attempts")
 	k.again = again != "" && again != "0"
 	s.User = k
-	c.calls[k] = struct{}{}
+	c.calls[k], c.asked = struct{}{}, true
 	method, ok := strings.CutPrefix(h2.Get(fields, ":path"), service)
 	if h2.Get(fields, ":method") != "POST" || !strings.HasPrefix(h2.Get(fields, "content-type"), "application/grpc") {
 		k.status(h2.Status{Code: codes.InvalidArgument, Message: "a call is a POST of application/grpc"})
@@ -173,7 +186,7 @@
 }
 
 func (k *call) malformed(err error) {
-	k.c.f.log.Info().Str("method", k.method).Err(err).Msg("Flight call refused as malformed")
+	k.c.f.bad.Info().Str("method", k.method).Err(err).Msg("Flight call refused as malformed")
 	k.status(h2.Status{Code: codes.InvalidArgument, Message: err.Error()})
 }
 
@@ -360,7 +373,7 @@
 
 // sweep looks after calls and connections that no event comes for.
 func (f *Front) sweep() {
-	now := f.core.Now()
+	now, keep := f.core.Now(), front.Keep(f.room)
 	for c := range f.clients {
 		c.conn.CloseIfGone()
 		for k := range c.calls {
@@ -371,7 +384,7 @@
 				// Guards memory against a client that does not take its answer.
 				k.s.Reset(http2.ErrCodeCancel)
 				delete(c.calls, k)
-			case !k.done && k.handle == nil && now-k.begun > callTime:
+			case !k.done && k.handle == nil && now-k.begun > front.BeginTime:
 				// Guards streams against calls that begin and never end.
 				k.status(h2.Status{Code: codes.DeadlineExceeded, Message: "the call was not whole in time"})
 			}
@@ -379,7 +392,9 @@
 		switch rests := c.h2.Streams() == 0 && c.conn.Idle(); {
 		case rests && (f.closing || c.half):
 			c.conn.Close(transport.LocalDone)
-		case rests && now-c.used > maxIdle:
+		case c.endBy > 0 && now > c.endBy:
+			c.conn.Close(transport.BadInput)
+		case rests && !c.asked && now-c.used > front.BeginTime, rests && now-c.used > keep:
 			// Guards descriptors against clients that keep what they don't use.
 			c.h2.GoAway()
 			c.conn.Close(transport.LocalIdle)
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -21,7 +21,6 @@
 
 const (
 	maxBuffered = http1.MaxHead + 2*http1.MaxBody // bytes of requests that wait for an answer before them
-	headTime    = 10 * time.Second                // a request that has begun must be whole within it
 	drainQuiet  = 100 * time.Millisecond          // how long a connection rests before it is closed at the end
 	version     = "HTTP/1.1 "                     // what every response begins with
 )
@@ -31,17 +30,17 @@
 	core    front.Core
 	classes map[string]int
 	set     []decide.Class
-	log     zerolog.Logger
+	bad     zerolog.Logger // lines on malformed requests
 	clients map[*client]struct{}
-	crowded func() bool
+	room    front.Room
 	closing bool
 	ready   bool
 }
 
 // New returns a Front for the classes. It answers that it is ready once Ready
-// is called. Crowded tells that there is hardly room for more connections.
-func New(core front.Core, classes []decide.Class, crowded func() bool, log zerolog.Logger) *Front {
-	return &Front{core: core, crowded: crowded, classes: front.Classes(classes), set: classes, log: log, clients: map[*client]struct{}{}}
+// is called.
+func New(core front.Core, classes []decide.Class, room front.Room, log zerolog.Logger) *Front {
+	return &Front{core: core, room: room, classes: front.Classes(classes), set: classes, bad: front.Sampled(log), clients: map[*client]struct{}{}}
 }
 
 // Ready lets health checks pass and starts to look after connections.
@@ -60,6 +59,8 @@
 	begins  bool     // the next response's version has been sent already
 	closing bool
 	rest    time.Duration // since when nothing is open
+	served  bool          // a whole request has come
+	endBy   time.Duration // closing: when the connection is closed at the latest
 	begun   time.Duration // when the request that is coming in began; 0: none is
 	last    time.Duration // when bytes last came
 }
@@ -78,25 +79,30 @@
 	f.core.Post(func() {
 		c.rest = f.core.Now()
 		f.clients[c] = struct{}{}
-		if f.crowded() {
+		if f.room.Crowded() {
 			f.makeRoom()
 		}
 	})
 	return c
 }
 
-// makeRoom closes the connection that has rested longest. It guards descriptors
-// against clients that open connections without end: one between requests may be
-// closed, one that is turned away at the door may hold a request.
+// makeRoom closes a connection that has had our last words, or else the one that
+// has rested longest. It guards descriptors against clients that open connections
+// without end: one between requests may be closed, one that is turned away at the
+// door may hold a request.
 func (f *Front) makeRoom() {
 	var oldest *client
 	for c := range f.clients {
+		if c.closing && c.conn.Idle() {
+			c.conn.Close(transport.LocalDone)
+			return
+		}
 		if !c.closing && c.open == nil && !c.parser.Started() && (oldest == nil || c.rest < oldest.rest) {
 			oldest = c
 		}
 	}
 	if oldest != nil {
-		oldest.end()
+		oldest.conn.Close(transport.LocalIdle)
 	}
 }
 
@@ -107,9 +113,6 @@
 		return
 	}
 	c.parser.Write(b)
-	if c.begun == 0 {
-		c.begun = c.f.core.Now()
-	}
 	c.next()
 	// Guards memory against a client that pipelines without end.
 	if c.open != nil && c.parser.Buffered() > maxBuffered {
@@ -128,6 +131,8 @@
 		if m == nil {
 			if !c.parser.Started() {
 				c.begun = 0
+			} else if c.begun == 0 {
+				c.begun = c.f.core.Now()
 			}
 			c.rest = c.f.core.Now()
 			if c.half {
@@ -137,7 +142,7 @@
 			}
 			return
 		}
-		c.begun = c.f.core.Now()
+		c.begun, c.served = 0, true
 		c.serve(m)
 	}
 }
@@ -147,7 +152,7 @@
 	if e, ok := err.(*http1.Error); ok {
 		status, why = e.Status, e.Reason
 	}
-	c.f.log.Info().Int("status", status).Str("why", why).Msg("request refused as malformed")
+	c.f.bad.Info().Int("status", status).Str("why", why).Msg("request refused as malformed")
 	c.reply(status, "text/plain", []byte(why+"\n"), 0, true)
 }
 
@@ -173,7 +178,7 @@
 	}
 	q, status, why := c.f.parse(m, path)
 	if status != 0 {
-		c.f.log.Info().Int("status", status).Str("why", why).Msg("request refused as malformed")
+		c.f.bad.Info().Int("status", status).Str("why", why).Msg("request refused as malformed")
 		text(status, why)
 		return
 	}
@@ -291,7 +296,7 @@
 	c.conn.Write(response)
 }
 
-var reasons = map[int]string{200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
+var reasons = map[int]string{200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
 	413: "Content Too Large", 431: "Request Header Fields Too Large", 500: "Internal Server Error",
 	501: "Not Implemented", 503: "Service Unavailable",
 	504: "Gateway Timeout"}
@@ -312,12 +317,18 @@
 	return append(b, "\r\n\r\n"...)
 }
 
-// end closes the connection once all that was written is on its way.
+// end closes the connection once all that was written has had its time to arrive.
 func (c *client) end() {
-	c.closing = true
-	if c.conn.Idle() {
+	if c.closing {
+		return
+	}
+	c.closing, c.endBy = true, c.f.core.Now()+front.LingerTime
+	c.parser = http1.NewRequestParser() // what came in holds no memory any more
+	if c.half && c.conn.Idle() {
 		c.conn.Close(transport.LocalDone)
+		return
 	}
+	c.conn.Finish(transport.LocalDone)
 }
 
 // HalfClosed implements transport.Handler: the client sends no more. If it has
@@ -347,16 +358,23 @@
 
 // sweep looks after connections that no event comes for.
 func (f *Front) sweep() {
-	now := f.core.Now()
+	now, keep := f.core.Now(), front.Keep(f.room)
 	for c := range f.clients {
 		c.conn.CloseIfGone()
+		rests := c.open == nil && !c.parser.Started()
 		switch {
 		case c.closing:
+			if now > c.endBy || c.half && c.conn.Idle() {
+				c.conn.Close(transport.LocalDone)
+			}
+		case c.open != nil:
+		case !c.served && rests && now-c.rest > front.BeginTime:
+			// Guards descriptors against clients that connect and say nothing.
 			c.end()
-		case c.open == nil && c.begun > 0 && now-c.begun > headTime:
-			// Guards descriptors against clients that begin a request and never end it.
-			c.conn.Close(transport.BadInput)
-		case f.closing && c.open == nil && !c.parser.Started() && now-c.rest > drainQuiet:
+		case !rests && now-c.begun > front.BeginTime:
+			// And against those that begin a request and never end it.
+			c.malformed(&http1.Error{Status: 408, Reason: "the request was not whole in time"})
+		case rests && (f.closing && now-c.rest > drainQuiet || now-c.rest > keep):
 			c.end()
 		}
 	}
--- a/internal/front/query.go
+++ b/internal/front/query.go
@@ -4,10 +4,12 @@
 
 import (
 	"errors"
+	"math"
 	"strings"
 	"time"
 
 	jsoniter "github.com/json-iterator/go"
+	"github.com/rs/zerolog"
 
 	"kiteloft/decide"
 	"kiteloft/internal/broker"
@@ -17,8 +19,9 @@
 var json = jsoniter.ConfigCompatibleWithStandardLibrary
 
 const (
-	maxParts = 4096
-	maxWord  = 128
+	massSlack = 0.01 // by how much written shares may miss 1 for rounding
+	maxParts  = 4096
+	maxWord   = 128
 	// OwnPrefix begins the ids of queries that come without one. A client's id may
 	// not begin so: ids of different fronts can't collide.
 	OwnPrefix = "fl-"
@@ -41,11 +44,35 @@
 	Close(e transport.End)
 	CloseIfGone()
 	Idle() bool
+	// Finish says our last words; Close has to follow if the peer does not leave.
+	Finish(e transport.End)
+}
+
+// Room tells of the connections that may be open.
+type Room interface {
+	Crowded() bool // there is hardly room for more
+	Busy() bool    // half of them are
+}
+
+// Keep is how long a connection may rest between requests: less while descriptors
+// get fewer.
+func Keep(r Room) time.Duration {
+	if r.Busy() {
+		return busyTime
+	}
+	return keepTime
 }
 
 const (
+	keepTime = 30 * time.Second
+	busyTime = 2 * time.Second
 	// SweepPace is how often a front looks after connections that no event comes for.
 	SweepPace = 250 * time.Millisecond
+	// BeginTime is by when a client has to have said what it wants: after it
+	// connected, and after it began.
+	BeginTime = 2 * time.Second
+	// LingerTime is how long a client gets to take our last words and leave.
+	LingerTime = 5 * time.Second
 	// ResetWait is by when a client that has closed answers what is sent with a reset.
 	ResetWait = 20 * time.Millisecond
 )
@@ -68,13 +95,21 @@
 	if len(b.Slices) == 0 || len(b.Slices) > maxParts {
 		return errors.New("slices: none, or too many")
 	}
+	sum := 0.0
 	for _, s := range b.Slices {
 		if s.Slice == nil || s.Mass == nil || s.Micros < 0 || s.Micros > 1e12 {
 			return errors.New("slices: one without slice or mass, or with a guess that can't be")
 		}
+		if !(*s.Mass > 0 && *s.Mass <= 1) {
+			return errors.New("slices: a mass that is no share")
+		}
+		sum += *s.Mass
 		q.Parts = append(q.Parts, broker.QueryPart{Shard: *s.Slice, Weight: *s.Mass,
 			Work: time.Duration(s.Micros * float64(time.Microsecond))})
 	}
+	if math.Abs(sum-1) > massSlack {
+		return errors.New("slices: masses that are no whole")
+	}
 	q.Text = []byte(b.Filter)
 	return nil
 }
@@ -94,6 +129,11 @@
 	return nil
 }
 
+// Sampled thins lines that clients can cause at will.
+func Sampled(log zerolog.Logger) zerolog.Logger {
+	return log.Sample(&zerolog.BurstSampler{Burst: 10, Period: time.Second})
+}
+
 // Word tells whether s can stand in a frame's line.
 func Word(s string) bool {
 	for i := range len(s) {
--- a/internal/h2/conn.go
+++ b/internal/h2/conn.go
@@ -114,6 +114,9 @@
 	return c.write(b)
 }
 
+// Partial reports whether a frame has begun and not ended.
+func (c *Conn) Partial() bool { return len(c.in) > 0 }
+
 // Streams is the number of open streams.
 func (c *Conn) Streams() int { return len(c.streams) }
 
--- a/internal/node/flight/flight.go
+++ b/internal/node/flight/flight.go
@@ -133,6 +133,9 @@
 // Room implements node.Session.
 func (s *session) Room() int { return s.h2.Room() }
 
+// Partial implements node.Session.
+func (s *session) Partial() bool { return s.h2.Partial() }
+
 // Data implements node.Session.
 func (s *session) Data(b []byte) error { return s.h2.Receive(b) }
 
--- a/internal/node/frames.go
+++ b/internal/node/frames.go
@@ -1,8 +1,11 @@
 package node
 
 import (
+	"errors"
+	"fmt"
 	"strconv"
 	"time"
+	"unicode/utf8"
 
 	"kiteloft/decide"
 	"kiteloft/internal/frames"
@@ -61,6 +64,9 @@
 
 func (s *frameSession) Probe() { s.l.Write(frames.Append(nil, frames.Probe, nil)) }
 
+// Partial implements Session.
+func (s *frameSession) Partial() bool { return s.parser.Partial() }
+
 // Room implements Session; a node that takes frames names no limit of its own.
 func (s *frameSession) Room() int { return 1 << 20 }
 
@@ -74,10 +80,17 @@
 		switch f.Letter {
 		case frames.Result:
 			r, err := frames.ParseReply(f.Rest)
+			if err == nil && !utf8.Valid(r.Value) {
+				err = errors.New("a value that is no text") // no client could be given it unchanged
+			}
+			if err != nil {
+				return err
+			}
+			t, err := s.l.Ticket(r.ID)
 			if err != nil {
 				return err
 			}
-			if t := s.l.Ticket(r.ID); t != nil {
+			if t != nil {
 				s.l.Done(t, outcome(r.End), r.Score, r.Value)
 			}
 		case frames.Probe:
@@ -88,6 +101,8 @@
 			s.l.Probed(o)
 		case frames.Refusal:
 			s.l.Complain(string(f.Rest))
+		default:
+			return fmt.Errorf("a frame of letter %q", f.Letter)
 		}
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,6 +5,8 @@
 package node
 
 import (
+	"errors"
+	"fmt"
 	"math"
 	"slices"
 	"strconv"
@@ -28,7 +30,8 @@
 const (
 	idleMargin   = 0.1 // share of ConnIdle before its end at which we close
 	sweepPace    = 250 * time.Millisecond
-	goneMemory   = 10 * time.Second // how long the result of a part given up may still come
+	goneMemory   = 10 * time.Second       // how long the result of a part given up, or a second copy, may still come
+	stallTime    = 100 * time.Millisecond // how long a message that has begun may stand still
 	probeTimeout = 2 * time.Second
 )
 
@@ -49,6 +52,8 @@
 	Data(b []byte) error
 	// Probe checks the node; its result goes to Link.Probed.
 	Probe()
+	// Partial reports whether a message has begun and not ended.
+	Partial() bool
 	// Room is how many more parts the node lets us send.
 	Room() int
 	// Sent is the offset of the last byte of a ticket's call, and whether all of
@@ -86,6 +91,10 @@
 	waiting [][]*Ticket              // calls that wait for the connection
 	out     map[string]*Ticket       // by wire id
 	gone    map[string]time.Duration // ids given up, and when: their result may still come
+	done    map[string]time.Duration // ids answered, and when
+	retired bool                     // the node said more than it was asked: nothing new goes here
+	partial bool                     // a message has begun, and a look at it is due
+	heard   time.Duration            // when bytes last came
 	probes  []func(decide.Outcome)
 	used    time.Duration
 }
@@ -119,7 +128,12 @@
 					delete(l.gone, id)
 				}
 			}
-			if l.conn != nil && l.quiet() && (!p.listed || l.addr != p.addr || !l.fresh()) {
+			for id, at := range l.done {
+				if now-at > goneMemory {
+					delete(l.done, id)
+				}
+			}
+			if l.conn != nil && l.quiet() && (!p.listed || l.retired || l.addr != p.addr || !l.fresh()) {
 				l.conn.Close(transport.LocalIdle)
 			}
 		}
@@ -212,7 +226,7 @@
 	if l.session != nil {
 		room = min(room, l.session.Room())
 	}
-	if l.ended || len(call) > room || l.conn != nil && l.conn.Broken() {
+	if l.ended || l.retired || len(call) > room || l.conn != nil && l.conn.Broken() {
 		return false
 	}
 	for _, a := range call {
@@ -226,7 +240,7 @@
 
 func (ls *Links) open(p *peer) *Link {
 	l := &Link{ls: ls, peer: p, addr: p.addr, out: map[string]*Ticket{}, gone: map[string]time.Duration{},
-		used: ls.core.Now()}
+		done: map[string]time.Duration{}, used: ls.core.Now()}
 	p.links = append(p.links, l)
 	_, hostPort := l.scheme()
 	ls.net.Dial(hostPort, ls.lim.ConnectTimeout, l, l.dialed)
@@ -335,20 +349,30 @@
 // Left is how long a ticket will still be waited for.
 func (l *Link) Left(t *Ticket) time.Duration { return t.Attempt.Left(l.ls.core.Now()) }
 
-// Ticket finds what is out by its id. An id that is not out was given up, and
-// what comes for it is dropped.
-func (l *Link) Ticket(id string) *Ticket {
-	t := l.out[id]
-	if t == nil {
+// Ticket finds what is out by its id. What comes for an id that was given up is
+// dropped. So is a second copy of an answer: the first was good, but a connection
+// that brings more than belongs to it is not used again. Any other id means that
+// some attempt will never get its own answer.
+func (l *Link) Ticket(id string) (*Ticket, error) {
+	if t := l.out[id]; t != nil {
+		return t, nil
+	}
+	if _, ok := l.gone[id]; ok {
 		delete(l.gone, id)
+		return nil, nil
 	}
-	return t
+	if _, ok := l.done[id]; ok {
+		l.retired = true
+		return nil, nil
+	}
+	return nil, fmt.Errorf("an answer for %.80q, which was not asked", id)
 }
 
 // Done ends a ticket with the node's word.
 func (l *Link) Done(t *Ticket, o decide.Outcome, score int64, value []byte) {
 	if l.out[t.ID] == t {
 		delete(l.out, t.ID)
+		l.done[t.ID] = l.ls.core.Now()
 		l.ls.core.Ended(t.Attempt, o, score, value)
 	}
 }
@@ -372,12 +396,45 @@
 // Data implements transport.Handler.
 func (l *Link) Data(b []byte) {
 	l.used = l.ls.core.Now()
+	l.heard = l.used
 	if err := l.session.Data(b); err != nil {
-		l.ls.log.Warn().Str("node", l.peer.id).Err(err).Msg("node sent what can't be used")
+		l.spoilt(err)
+		return
+	}
+	if l.session.Partial() {
+		if l.quiet() && len(l.gone) == 0 {
+			l.spoilt(errors.New("bytes that nothing asked for"))
+		} else if !l.partial {
+			l.partial = true
+			l.ls.core.After(stallTime, l.stalled)
+		}
+	} else if l.retired && l.quiet() {
 		l.conn.Close(transport.BadInput)
 	}
 }
 
+// spoilt ends a connection whose stream can't be read any further.
+func (l *Link) spoilt(err error) {
+	l.ended = true // no send of this step may use it
+	l.ls.log.Warn().Str("node", l.peer.id).Err(err).Msg("node sent what can't be used")
+	l.conn.Close(transport.BadInput)
+}
+
+// stalled guards against a length that doesn't fit: the rest of the message never
+// comes, and no answer after it could be told from it.
+func (l *Link) stalled() {
+	l.partial = false
+	if l.ended || !l.session.Partial() {
+		return
+	}
+	if left := l.heard + stallTime - l.ls.core.Now(); left > 0 {
+		l.partial = true
+		l.ls.core.After(left, l.stalled)
+		return
+	}
+	l.spoilt(errors.New("a message that does not go on"))
+}
+
 // HalfClosed implements transport.Handler; connections we dialed end at once.
 func (l *Link) HalfClosed() {}
 
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -14,7 +14,10 @@
 
 const (
 	maxPending   = 1 << 20               // bytes that may wait for a peer that reads slowly
-	maxUnhandled = 1 << 20               // bytes read that wait for the owner's goroutine
+	maxUnhandled = 256 << 10             // bytes read on one connection that wait for the owner's goroutine
+	maxBacklog   = 4 << 20               // the same on all of them, before one may have only fairUnread
+	fairUnread   = 96 << 10              // as much as a client's longest request
+	maxSkimmed   = 80 << 20              // bytes passed over while a client takes our last words
 	stallTime    = 2 * time.Second       // how long a peer may take for what waits for it
 	lingerCheck  = 50 * time.Millisecond // pace at which a half-closed connection is looked at
 )
@@ -52,8 +55,12 @@
 	dialed bool
 	opened time.Time
 
-	muted         atomic.Bool // we closed it: nothing more is heard
+	muted         atomic.Bool // nothing more is heard: we closed it, or it said too much
+	skims         atomic.Bool // what still comes is read and passed over
+	skimmed       int64       // bytes passed over; the worker's own
 	unhandled     atomic.Int64
+	backlog       *atomic.Int64 // bytes unhandled on all connections
+	release       func()        // gives the place among the open ones back
 	in, reads     atomic.Int64
 	local, remote net.Addr
 
@@ -62,6 +69,7 @@
 	raw     bool  // the poller has let go of it; fd is our own duplicate
 	closed  bool  // fd may not be used any more
 	end     End   // why, once known
+	finish  End   // Open, or why we said our last words
 	queued  int64 // bytes handed to Write
 	written int64 // bytes that the kernel may have taken
 	writes  int64
@@ -71,9 +79,10 @@
 	told    bool   // Ended has been posted
 }
 
-func newConn(post Poster, nc netpoll.Connection, dialed bool, onEnd func(Stats)) *Conn {
-	c := &Conn{post: post, nc: nc, dialed: dialed, onEnd: onEnd, opened: time.Now(),
-		local: nc.LocalAddr(), remote: nc.RemoteAddr()}
+func (n *Net) newConn(nc netpoll.Connection, dialed bool) *Conn {
+	c := &Conn{post: n.post, nc: nc, dialed: dialed, onEnd: n.onEnd, opened: time.Now(), backlog: &n.backlog,
+		release: func() { n.open.Add(-1) },
+		local:   nc.LocalAddr(), remote: nc.RemoteAddr()}
 	if f, ok := nc.(netpoll.Conn); ok {
 		c.fd = f.Fd()
 	}
@@ -87,21 +96,34 @@
 	if n == 0 {
 		return
 	}
-	p, err := r.Next(n)
+	c.in.Add(int64(n))
+	c.reads.Add(1)
+	take := 0
+	if !c.skims.Load() {
+		take = c.take(n)
+	}
+	p, err := r.Next(take)
 	if err != nil {
 		return // the connection ended; its close callback tells the handler
 	}
 	b := append([]byte(nil), p...)
+	if err := r.Skip(n - take); err != nil {
+		return
+	}
 	_ = r.Release() // fails only on a closed connection
-	c.in.Add(int64(n))
-	c.reads.Add(1)
-	// Guards against a peer that sends faster than the owner's goroutine works.
-	if c.unhandled.Add(int64(n)) > maxUnhandled {
-		c.Close(PeerFlooded)
+	if take < n {
+		c.skims.Store(true)
+		if c.skimmed += int64(n - take); c.dialed || c.skimmed > maxSkimmed {
+			c.Close(PeerFlooded)
+			return
+		}
+	}
+	if take == 0 {
 		return
 	}
 	c.post.Post(func() {
-		c.unhandled.Add(-int64(n))
+		c.unhandled.Add(-int64(take))
+		c.backlog.Add(-int64(take))
 		// A peer's last words count, though it has left since; after an end of our
 		// own nothing does.
 		if !c.muted.Load() {
@@ -110,6 +132,21 @@
 	})
 }
 
+// take counts how many of n bytes may wait for the owner's goroutine. It guards
+// memory against peers that send faster than that works. A client's first bytes
+// are being looked at and earn it an error, so the rest is passed over; what a node
+// says is of no use with a gap.
+func (c *Conn) take(n int) int {
+	most := int64(maxUnhandled)
+	if c.backlog.Load() > maxBacklog {
+		most = fairUnread
+	}
+	n = int(max(0, min(int64(n), most-c.unhandled.Load())))
+	c.unhandled.Add(int64(n))
+	c.backlog.Add(int64(n))
+	return n
+}
+
 func (c *Conn) ended() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -126,6 +163,9 @@
 		c.mu.Unlock()
 		return
 	}
+	if c.end == Open {
+		c.end = c.finish
+	}
 	half := c.end == Open && !c.dialed && finSeen(c.fd)
 	if half {
 		if fd, err := unix.FcntlInt(uintptr(c.fd), unix.F_DUPFD_CLOEXEC, 0); err == nil {
@@ -175,7 +215,7 @@
 	c.mu.Lock()
 	c.queued += int64(len(b))
 	end := c.queued
-	if c.closed || c.end != Open || c.broken || len(b) == 0 {
+	if c.closed || c.end != Open || c.finish != Open || c.broken || len(b) == 0 {
 		c.mu.Unlock()
 		return end
 	}
@@ -235,6 +275,7 @@
 		c.mu.Lock()
 		if len(c.pending) == 0 || c.closed || c.end != Open {
 			c.writing = false
+			c.lastWords()
 			c.mu.Unlock()
 			return
 		}
@@ -310,6 +351,30 @@
 	return !c.writing && len(c.pending) == 0
 }
 
+// Finish says that nothing more will be written and nothing more is heard. What
+// was written still reaches the peer: a close with bytes unread would reset the
+// connection and could take our last words with it, so what the peer goes on to
+// send is passed over until it leaves. The owner closes the connection if it
+// doesn't.
+func (c *Conn) Finish(e End) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.end != Open || c.finish != Open {
+		return
+	}
+	c.finish = e
+	c.muted.Store(true)
+	c.skims.Store(true)
+	c.lastWords()
+}
+
+// lastWords ends our side once all is written. The caller holds mu.
+func (c *Conn) lastWords() {
+	if c.finish != Open && !c.writing && len(c.pending) == 0 && !c.closed && c.end == Open {
+		_ = unix.Shutdown(c.fd, unix.SHUT_WR) // fails only where the peer has reset
+	}
+}
+
 // Close ends the connection. Ended follows on the owner's goroutine.
 func (c *Conn) Close(e End) {
 	c.mu.Lock()
@@ -338,6 +403,7 @@
 		return
 	}
 	c.told = true
+	c.release()
 	st := Stats{Local: c.local, Remote: c.remote, Dialed: c.dialed, Opened: c.opened, Ended: time.Now(),
 		In: c.in.Load(), Out: c.written, Reads: c.reads.Load(), Writes: c.writes, End: c.end}
 	c.mu.Unlock()
--- a/internal/transport/end.go
+++ b/internal/transport/end.go
@@ -45,6 +45,9 @@
 	switch {
 	case !written, e == Refused, e == NeverUp, e == NoDescriptor, e == NotDialed:
 		return decide.ConnectFailed
+	case e == BadInput, e == PeerFlooded:
+		// The node spoilt its answer: it may have run, and the network is not to blame.
+		return decide.Failed
 	default:
 		return decide.Reset
 	}
--- a/internal/transport/net.go
+++ b/internal/transport/net.go
@@ -7,8 +7,11 @@
 	"io"
 	"net"
 	"net/netip"
+	"runtime"
+	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cloudwego/netpoll"
@@ -19,6 +22,9 @@
 	dialers  = 24  // dials under way at once; each may hang for the time to connect
 	maxDials = 256 // dials that wait for one of them
 	reserve  = 8   // one in so many connections is kept for those that we open
+	// readAtOnce bounds the kernel's buffer of what a peer has sent, and with it what
+	// netpoll makes room for at a time: up to 8 MB for a peer at full speed otherwise.
+	readAtOnce = 64 << 10
 )
 
 // worker runs netpoll's callbacks, for all connections, on one goroutine: none
@@ -40,6 +46,9 @@
 	case t.ready <- struct{}{}:
 	default:
 	}
+	// Guards memory against peers at full speed: the poller would go on reading, for as
+	// long as it isn't preempted, what nobody has looked at.
+	runtime.Gosched()
 }
 
 func (t *tasks) run() {
@@ -90,6 +99,10 @@
 	open  atomic.Int64
 	dials chan dial
 	once  sync.Once
+
+	backlog atomic.Int64 // bytes read that wait for the owner's goroutine
+	mu      sync.Mutex
+	silent  []*Conn // accepted ones that had said nothing when last looked at, oldest first
 }
 
 type dial struct {
@@ -105,16 +118,34 @@
 	return &Net{post: p, onEnd: onEnd, max: int64(max), dials: make(chan dial, maxDials)}
 }
 
-func (n *Net) ended(s Stats) {
-	n.open.Add(-1)
-	if n.onEnd != nil {
-		n.onEnd(s)
-	}
-}
-
 // Crowded reports whether accepted connections will soon be turned away.
 func (n *Net) Crowded() bool { return n.open.Load() > n.max-2*n.max/reserve }
 
+// Busy reports whether half of the connections that may be open are.
+func (n *Net) Busy() bool { return n.open.Load() > n.max/2 }
+
+// room makes room for one more accepted connection, where there is none, by
+// closing the one that has been silent for longest. It guards the clients that
+// ask against a crowd that connects and says nothing.
+func (n *Net) room(newcomer *Conn) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if int64(len(n.silent)) > 2*n.max {
+		n.silent = slices.DeleteFunc(n.silent, func(c *Conn) bool { return c.in.Load() > 0 || c.ended() })
+	}
+	for n.open.Load() > n.max-n.max/reserve {
+		i := slices.IndexFunc(n.silent, func(c *Conn) bool { return c.in.Load() == 0 && !c.ended() })
+		if i < 0 {
+			return false
+		}
+		c := n.silent[i]
+		n.silent = slices.Delete(n.silent, 0, i+1)
+		c.Close(LocalIdle)
+	}
+	n.silent = append(n.silent, newcomer)
+	return true
+}
+
 // Dial opens a connection without blocking; done is posted with it, or with the
 // way in which it failed. A timeout of zero means netpoll's own.
 func (n *Net) Dial(addr string, timeout time.Duration, h Handler, done func(*Conn, End)) {
@@ -151,9 +182,10 @@
 			n.post.Post(func() { d.done(nil, e) })
 			continue
 		}
-		c := newConn(n.post, nc, true, n.ended)
+		c := n.newConn(nc, true)
 		c.h = d.h
-		n.post.Post(func() { d.done(c, Open) }) // before any Data of it
+		_ = unix.SetsockoptInt(c.fd, unix.SOL_SOCKET, unix.SO_RCVBUF, readAtOnce) // a bound on memory, no need
+		n.post.Post(func() { d.done(c, Open) })                                   // before any Data of it
 		c.attach()
 	}
 }
@@ -177,7 +209,16 @@
 // Listen accepts connections at the address. Accept is called on the poller's
 // goroutine and returns the connection's handler.
 func (n *Net) Listen(addr string, accept func(*Conn) Handler) (*Listener, error) {
-	tcp, err := net.Listen("tcp", addr)
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		var err error
+		if e := raw.Control(func(fd uintptr) { // what is accepted inherits it
+			err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, readAtOnce)
+		}); e != nil {
+			return e
+		}
+		return err
+	}}
+	tcp, err := config.Listen(context.Background(), "tcp", addr)
 	if err != nil {
 		return nil, fmt.Errorf("listening: %w", err)
 	}
@@ -186,12 +227,13 @@
 		return nil, fmt.Errorf("listening at %s: %w", addr, err)
 	}
 	prepare := func(nc netpoll.Connection) context.Context {
-		if n.open.Add(1) > n.max-n.max/reserve {
+		n.open.Add(1)
+		c := n.newConn(nc, false)
+		if !n.room(c) {
 			n.open.Add(-1)
 			_ = nc.Close() // guards the limit on descriptors; the client tries elsewhere
 			return context.Background()
 		}
-		c := newConn(n.post, nc, false, n.ended)
 		c.h = accept(c)
 		_ = nc.AddCloseCallback(func(netpoll.Connection) error { c.hungUp(); return nil }) // never fails
 		return context.WithValue(context.Background(), connKey{}, c)
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -95,6 +95,9 @@
 		if e == Refused || e == NeverUp || e == NoDescriptor || e == NotDialed {
 			want = decide.ConnectFailed
 		}
+		if e == BadInput || e == PeerFlooded {
+			want = decide.Failed
+		}
 		if got := Outcome(e, true); got != want {
 			t.Errorf("%v after the last byte: %v", e, got)
 		}
@@ -306,3 +309,77 @@
 		t.Errorf("flow %+v", s)
 	}
 }
+
+// TestLastWordsReachAPeerThatStillSends answers in the middle of a long message:
+// a close with bytes unread would reset the connection under the sender.
+func TestLastWordsReachAPeerThatStillSends(t *testing.T) {
+	c, h, peer := accepted(t)
+	_ = peer.SetDeadline(time.Now().Add(10 * time.Second))
+	piece := make([]byte, 64<<10)
+	for i := range 200 {
+		if _, err := peer.Write(piece); err != nil {
+			t.Fatalf("after %d pieces: %v", i, err)
+		}
+		if i == 2 {
+			c.Write([]byte("no"))
+			c.Finish(LocalDone)
+		}
+	}
+	if b, err := io.ReadAll(peer); err != nil || string(b) != "no" {
+		t.Errorf("read %q, %v", b, err)
+	}
+	_ = peer.Close()
+	h.ended(t, LocalDone)
+}
+
+// TestSilentConnectionsMakeRoom connects more peers that say nothing than may be
+// open, then one that speaks.
+func TestSilentConnectionsMakeRoom(t *testing.T) {
+	h := &heard{}
+	n := NewNet(newOwner(t), 16, nil)
+	ln, err := n.Listen("127.0.0.1:0", func(*Conn) Handler { return h })
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	for range 60 {
+		peer, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = peer.Close() })
+	}
+	peer, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = peer.Close() })
+	_, _ = io.WriteString(peer, "hello")
+	wait(t, "the one that speaks is heard", func() bool { var d string; h.with(func() { d = h.data }); return d == "hello" })
+	if open := n.open.Load(); open > n.max {
+		t.Errorf("%d open, at most %d may be", open, n.max)
+	}
+}
+
+// TestAFloodIsBounded has a peer send faster than the owner works.
+func TestAFloodIsBounded(t *testing.T) {
+	o := make(owner, 10000) // nobody works
+	n := NewNet(o, 10, nil)
+	ln, err := n.Listen("127.0.0.1:0", func(*Conn) Handler { return &heard{} })
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	peer, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = peer.Close() })
+	_ = peer.SetDeadline(time.Now().Add(10 * time.Second))
+	if _, err := peer.Write(make([]byte, 8<<20)); err != nil {
+		t.Fatal(err)
+	}
+	if held := n.backlog.Load(); held == 0 || held > maxUnhandled {
+		t.Errorf("%d bytes held, at most %d may be", held, maxUnhandled)
+	}
+}
