Use draining holders within their window, and break ties by zone

Checked by a probe that logged each refusal: 1236 of 1252 had a shard with both holders draining, the successors not listed for another 2 s; no cold server lacked room. A second probe: draining nodes answered what they were sent within their window, 0.24 s to 0.56 s after we were told, in some 20 ms. The list as it came had right start times. The errors at 25 to 35 s come from four nodes for one class; their shards have no sound holder then, which no choice mends. At fault: decide's allowed() barred a node from the moment that it drains, while the rule leaves 2 s. Change: a holder that drains is taken where the others would be late, within 0.8 of the window and until it turns a part away. The core guards the rule itself: no send after the window, also of what waited for a connection. Offsets with equal calls out are chosen by zone; a fault under an eighth of a call breaks no tie. Also: probes time out after 0.5 s and close a connection that says nothing; the backlog's bound comes from the configured memory.

--- a/cmd/kiteloft/main.go
+++ b/cmd/kiteloft/main.go
@@ -30,13 +30,14 @@
 	brokerFile = "deploy/broker.toml"
 	// clockStart is what the module's clock shows at our start: servers that
 	// started before us have to have a time above zero.
-	clockStart  = 24 * time.Hour
-	ownFiles    = 40                     // descriptors that are not connections
-	logLines    = 1000                   // lines that may wait to be written
-	memoryShare = 0.7                    // share of the memory limit at which the collector works harder
-	acceptOn    = 500 * time.Millisecond // how long new connections are taken after SIGTERM; 0.4 s are asked for
-	lingerOn    = 300 * time.Millisecond // how long clients get to take their last answer
-	lastWrites  = 20 * time.Millisecond  // for the last flow records to leave
+	clockStart   = 24 * time.Hour
+	ownFiles     = 40                     // descriptors that are not connections
+	logLines     = 1000                   // lines that may wait to be written
+	backlogShare = 8                      // one in so many bytes of memory may hold what was read and not looked at
+	memoryShare  = 0.7                    // share of the memory limit at which the collector works harder
+	acceptOn     = 500 * time.Millisecond // how long new connections are taken after SIGTERM; 0.4 s are asked for
+	lingerOn     = 300 * time.Millisecond // how long clients get to take their last answer
+	lastWrites   = 20 * time.Millisecond  // for the last flow records to leave
 )
 
 func main() {
@@ -114,10 +115,10 @@
 	var flows *ipfix.Exporter
 	ended := func(transport.Stats) {}
 	if cfg.IPFIXCollector != "" {
-		flows = ipfix.NewExporter(core, transport.NewNet(core, 1, nil), cfg.IPFIXCollector, cfg.Name, log)
+		flows = ipfix.NewExporter(core, transport.NewNet(core, transport.Limits{Conns: 1}, nil), cfg.IPFIXCollector, cfg.Name, log)
 		ended = flows.Add
 	}
-	net := transport.NewNet(core, cfg.Sockets-ownFiles, ended)
+	net := transport.NewNet(core, transport.Limits{Conns: cfg.Sockets - ownFiles, Backlog: cfg.MemoryMB << 20 / backlogShare}, ended)
 	links := node.New(core, net, node.Limits{ConnectTimeout: set.ConnectTimeout, ConnIdle: set.ConnIdle,
 		StreamsPerConn: set.StreamsPerConn}, map[string]node.Protocol{"": node.Frames, nodeflight.Scheme: nodeflight.Protocol}, log)
 	dir := discovery.New(core, net, cfg.Discovery, set.Zones, started.Add(-clockStart), log)
--- a/decide/api.go
+++ b/decide/api.go
@@ -47,6 +47,7 @@
 // value of an optional figure means that the right or rule does not apply.
 type Settings struct {
 	Aggregators int           // how many share the servers
+	Zone        int           // this aggregator's
 	Tick        time.Duration // least time between two steps
 	Classes     []Class
 	Tenants     []Tenant
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -34,6 +34,8 @@
 	faultSuspect   = 0.5              // failing share that makes a suspect
 	faultCareful   = 0.15             // the same for a part that has only one try
 	faultCalls     = 4                // calls that a failing server counts as holding: it looks idle
+	leaveShare     = 0.8              // share of DrainGrace in which a draining server may be sent parts
+	crossCalls     = 1e-6             // calls that a way into another zone counts as: a tie is broken
 	silentAims     = 0.5              // share of the shortest aim that a server may stay silent
 	silentLate     = 1.5              // the same as a multiple of its own late mark
 	trialAims      = 0.5              // share of the shortest aim between trials of a suspect
@@ -151,7 +153,9 @@
 		m.takeServer(entry)
 	}
 	for _, s := range m.order {
-		s.barred = !s.listed || s.State != Running
+		if bars := !s.listed || s.State != Running; bars != s.barred {
+			s.barred, s.barredAt, s.shut = bars, m.now, false
+		}
 	}
 	m.dropUnlisted()
 }
@@ -192,8 +196,9 @@
 
 // ---- choice: the offset rule, and when a part leaves it ----
 
-// chooseOffset returns the offset whose servers have the fewest of our calls out; equal ones are drawn by
-// lot. A failing server counts as holding faultCalls more, or its quick failures would make it look idle.
+// chooseOffset returns the offset whose servers have the fewest of our calls out; of equal ones that which
+// crosses zones least, then one by lot. A failing server counts as holding up to faultCalls more, or its
+// quick failures would make it look idle; a rare failure breaks no tie.
 func (m *Module) chooseOffset(parts []*part) int {
 	offsets := 0
 	for _, p := range parts {
@@ -203,9 +208,9 @@
 	for j := range offsets {
 		load := m.offsetLoad(parts, j)
 		switch {
-		case load < bestLoad-1e-9:
+		case load < bestLoad-1e-12:
 			best, bestLoad, ties = j, load, 1
-		case load < bestLoad+1e-9:
+		case load < bestLoad+1e-12:
 			if ties++; m.rng.IntN(ties) == 0 {
 				best = j
 			}
@@ -223,7 +228,10 @@
 			continue
 		}
 		if count[s]%max(m.set.PartsPerCall, 1) == 0 {
-			load += float64(s.calls+1) + faultCalls*s.fault
+			load += float64(s.calls+1) + math.Round(faultCalls*s.fault)
+		}
+		if s.Zone != m.set.Zone {
+			load += crossCalls
 		}
 		count[s]++
 	}
@@ -271,6 +279,9 @@
 		if p.triedAt(s) {
 			rank += 1e3
 		}
+		if s.barred {
+			rank = departRatio*rank + hedgeFloor.Seconds() // leaving
+		}
 		if m.suspect(s) {
 			rank += 1e6
 		}
@@ -437,6 +448,7 @@
 		m.answered.add(m.now, 1)
 	case Failed, Full, Reset:
 		m.heard(s)
+		s.shut = s.shut || s.barred && e.Outcome == Full
 		if e.Outcome == Reset {
 			s.usedAt = 0
 		}
@@ -527,7 +539,7 @@
 // fit tells whether the server may take the part by the offset rule: a suspect gets a repeatable part now
 // and then, as a trial, so that it is found again when it is sound; a silent one is probed instead.
 func (m *Module) fit(p *part, s *server) bool {
-	if !m.allowed(p, s) {
+	if s.barred || !m.allowed(p, s) {
 		return false
 	}
 	doubt := m.suspect(s)
@@ -542,7 +554,15 @@
 
 // allowed tells whether the rules let the part go to the server now.
 func (m *Module) allowed(p *part, s *server) bool {
-	return !s.barred && s.State == Running && m.coldRoom(s)
+	return (!s.barred && s.State == Running || m.leaving(s)) && m.coldRoom(s)
+}
+
+// leaving tells whether the server drains, is not known to turn parts away, and may still be sent some. It
+// guards the shards whose other holder is gone or failing, while the list is behind with the successors:
+// the rule leaves DrainGrace, of which leaveShare is used, since a send may wait for its connection.
+func (m *Module) leaving(s *server) bool {
+	return s.listed && s.State == Stopping && !s.shut &&
+		m.now-s.barredAt < time.Duration(leaveShare*float64(m.set.DrainGrace))
 }
 
 // coldRoom keeps a cold server's budget in every window: what a warm server bears from us, times the cold
--- a/decide/state.go
+++ b/decide/state.go
@@ -54,7 +54,9 @@
 type server struct {
 	Server
 	listed               bool
-	barred               bool // Stopping, Deleted or gone from the list
+	barred               bool          // Stopping, Deleted or gone from the list
+	barredAt             time.Duration // when that last changed
+	shut                 bool          // barred, and turns parts away
 	fill, read           *ddsketch.DDSketch
 	swapAt               time.Duration
 	out                  int // attempts
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -6,6 +6,7 @@
 package broker
 
 import (
+	"maps"
 	"time"
 
 	"kiteloft/decide"
@@ -93,6 +94,9 @@
 // module does so two ticks before.
 const lastGuard = 3 * time.Millisecond
 
+// forgetGone is how long after its window a node that is gone is remembered.
+const forgetGone = 30 * time.Second
+
 // lateTicks is how close to its end a query that fails counts as expired.
 const lateTicks = 4
 
@@ -115,6 +119,7 @@
 	wireIDs  map[string]*query
 	parts    map[string]*part // of open queries, and those with an attempt out
 	members  map[string]Member
+	told     map[string]time.Duration // by node, when we were told that it drains or is gone
 	number   int64
 	held     int // open queries and their parts
 	stopping bool
@@ -179,7 +184,8 @@
 // New returns a Core. Use sets its surroundings before Run.
 func New(set settings.Settings, mod Stepper, clock func() time.Duration, log Log) *Core {
 	return &Core{set: set, mod: mod, clock: clock, log: log, mail: newMailbox(),
-		queries: map[string]*query{}, wireIDs: map[string]*query{}, parts: map[string]*part{}, members: map[string]Member{}}
+		queries: map[string]*query{}, wireIDs: map[string]*query{}, parts: map[string]*part{}, members: map[string]Member{},
+		told: map[string]time.Duration{}}
 }
 
 // Use gives the core its nodes and its directory.
@@ -398,10 +404,22 @@
 		Latency: c.now - a.sent})
 }
 
+// MaySend tells whether an attempt that has waited for a connection may still be
+// written. It guards the rule on drains: the window goes on while a connection is
+// being opened.
+func (c *Core) MaySend(a *Attempt) bool { return !a.over && !c.closed(a.Node.ID) }
+
+// closed tells whether nothing new may go to the node any more.
+func (c *Core) closed(id string) bool {
+	at, told := c.told[id]
+	return told && c.now > at+c.set.Module.DrainGrace
+}
+
 // ---- the list of nodes ----
 
 // Listed brings news of the list of nodes.
 func (c *Core) Listed(full bool, version int64, list []Member) {
+	old := maps.Clone(c.members)
 	if full {
 		clear(c.members)
 	}
@@ -417,7 +435,21 @@
 	known := make([]Node, 0, len(c.members))
 	for id, m := range c.members {
 		known = append(known, Node{ID: id, Addr: m.Addr})
+		old[id] = m
+	}
+	for id := range old {
+		m, listed := c.members[id]
+		if _, told := c.told[id]; listed && m.State == decide.Running {
+			delete(c.told, id)
+		} else if !told {
+			c.told[id] = c.now
+		}
 	}
+	// What is gone for so long is asked for by nobody any more.
+	maps.DeleteFunc(c.told, func(id string, at time.Duration) bool {
+		_, listed := c.members[id]
+		return !listed && c.now > at+c.set.Module.DrainGrace+forgetGone
+	})
 	c.nodes.Known(known)
 	c.events = append(c.events, ev)
 }
--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os/exec"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -325,3 +326,42 @@
 		}
 	}
 }
+
+// TestNothingNewToANodeThatDrains has the module send to a node after its window,
+// and an attempt wait for its connection until then.
+func TestNothingNewToANodeThatDrains(t *testing.T) {
+	s := play(t, []decide.Action{send("q1.0")}, nil, []decide.Action{send("q1.2")})
+	s.set.Module.DrainGrace = 100 * time.Millisecond
+	s.ask(t, 0)
+	s.at(tick)
+	leaving := Member{Server: decide.Server{ID: "n0", State: decide.Stopping}}
+	s.Post(func() { s.Listed(false, 2, []Member{leaving}) })
+	s.at(2 * tick)
+	if len(s.calls) != 1 || !s.MaySend(s.calls[0][0]) {
+		t.Fatalf("%d calls; within the window one may be sent", len(s.calls))
+	}
+	s.Post(func() { s.Listed(false, 3, []Member{leaving}) }) // told again: the window is the first one
+	s.at(2*tick + s.set.Module.DrainGrace + time.Millisecond)
+	if s.MaySend(s.calls[0][0]) {
+		t.Error("an attempt may be written after the window")
+	}
+	s.at(4*tick + s.set.Module.DrainGrace)
+	if len(s.calls) != 1 || !slices.Contains(s.guards, "drain") {
+		t.Errorf("%d calls, guards %v", len(s.calls), s.guards)
+	}
+	back := leaving
+	back.State = decide.Running
+	s.Post(func() { s.Listed(true, 4, []Member{back}) })
+	s.at(10 * time.Second)
+	s.at(11 * time.Second)
+	if s.closed("n0") || !s.closed("n1") {
+		t.Errorf("told of %v; n0 is back, n1 is off the list", s.told)
+	}
+	s.Post(func() { s.Listed(false, 5, nil) })
+	s.at(11*time.Second + forgetGone)
+	s.Post(func() { s.Listed(false, 6, nil) })
+	s.at(20*time.Second + forgetGone)
+	if len(s.told) != 0 {
+		t.Errorf("still told of %v", s.told)
+	}
+}
--- a/internal/broker/step.go
+++ b/internal/broker/step.go
@@ -125,6 +125,12 @@
 		a.over, a.neverRan = true, true
 		c.report(a, decide.Moot)
 		return nil
+	case c.closed(m.ID):
+		// Guards the rule on drains against the module's own book-keeping.
+		c.log.Guard("drain", q.WireID, "node "+m.ID+" drains for too long")
+		a.over, a.neverRan = true, true
+		c.report(a, decide.Moot)
+		return nil
 	case !c.holds(m, p.shard):
 		// Guards the run: a part at a node without its shard voids it.
 		c.log.Guard("holders", q.WireID, "node "+m.ID+" lacks shard "+number(int64(p.shard)))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -32,7 +32,7 @@
 	sweepPace    = 250 * time.Millisecond
 	goneMemory   = 10 * time.Second       // how long the result of a part given up, or a second copy, may still come
 	stallTime    = 100 * time.Millisecond // how long a message that has begun may stand still
-	probeTimeout = 2 * time.Second
+	probeTimeout = 500 * time.Millisecond
 )
 
 // Core is what this package needs of the core.
@@ -40,6 +40,8 @@
 	Now() time.Duration
 	After(d time.Duration, fn func())
 	Ended(a *broker.Attempt, o decide.Outcome, score int64, value []byte)
+	// MaySend tells whether an attempt that waited for a connection may be written.
+	MaySend(a *broker.Attempt) bool
 }
 
 // Session is what is said on one connection.
@@ -95,10 +97,24 @@
 	retired bool                     // the node said more than it was asked: nothing new goes here
 	partial bool                     // a message has begun, and a look at it is due
 	heard   time.Duration            // when bytes last came
-	probes  []func(decide.Outcome)
+	probes  []*probe                 // in the order in which their answers come
 	used    time.Duration
 }
 
+// probe is one that was sent, or waits for the connection.
+type probe struct {
+	done func(decide.Outcome)
+	told bool
+	at   time.Duration
+}
+
+func (p *probe) end(o decide.Outcome) {
+	if !p.told {
+		p.told = true
+		p.done(o)
+	}
+}
+
 // Ticket is an attempt's place on a link.
 type Ticket struct {
 	*broker.Attempt
@@ -144,7 +160,10 @@
 	ls.core.After(sweepPace, ls.sweep)
 }
 
-func (l *Link) quiet() bool { return len(l.out) == 0 && len(l.probes) == 0 }
+// quiet tells whether nobody waits for anything on the connection.
+func (l *Link) quiet() bool {
+	return len(l.out) == 0 && !slices.ContainsFunc(l.probes, func(p *probe) bool { return !p.told })
+}
 
 // fresh tells whether a connection is far from being closed as idle.
 func (l *Link) fresh() bool {
@@ -271,7 +290,13 @@
 	l.conn, l.used = c, l.ls.core.Now()
 	l.session = protocol(l)
 	for _, batch := range l.waiting {
-		l.send(slices.DeleteFunc(batch, func(t *Ticket) bool { return t.Over() })) // given up meanwhile
+		l.send(slices.DeleteFunc(batch, func(t *Ticket) bool {
+			drop := !l.ls.core.MaySend(t.Attempt) // given up meanwhile, or the node drains for too long
+			if drop && !t.Over() {
+				l.Done(t, decide.ConnectFailed, 0, nil)
+			}
+			return drop
+		}))
 	}
 	l.waiting = nil
 	for range l.probes {
@@ -320,22 +345,24 @@
 	p := ls.peer(n)
 	var l *Link
 	for _, have := range p.links {
-		if !have.ended && have.addr == p.addr {
+		if !have.ended && !have.retired && have.addr == p.addr {
 			l = have
 		}
 	}
 	if l == nil {
 		l = ls.open(p)
 	}
-	told := false
-	once := func(o decide.Outcome) {
-		if !told {
-			told = true
-			done(o)
+	pr := &probe{done: done, at: ls.core.Now()}
+	l.probes = append(l.probes, pr)
+	ls.core.After(probeTimeout, func() {
+		pr.end(decide.TimedOut)
+		// Guards against a machine that has vanished and may be back: the connection
+		// will never tell, a new one does.
+		if l.conn != nil && l.quiet() && l.heard < pr.at {
+			l.ended = true
+			l.conn.Close(transport.LocalDone)
 		}
-	}
-	l.probes = append(l.probes, once)
-	ls.core.After(probeTimeout, func() { once(decide.TimedOut) })
+	})
 	if l.session != nil {
 		l.session.Probe()
 	}
@@ -380,9 +407,9 @@
 // Probed ends the oldest probe.
 func (l *Link) Probed(o decide.Outcome) {
 	if len(l.probes) > 0 {
-		done := l.probes[0]
+		p := l.probes[0]
 		l.probes = l.probes[1:]
-		done(o)
+		p.end(o)
 	}
 }
 
@@ -461,8 +488,8 @@
 		}
 		l.ls.core.Ended(t.Attempt, transport.Outcome(e, written), 0, nil)
 	}
-	for _, done := range l.probes {
-		done(transport.Outcome(e, l.conn != nil))
+	for _, p := range l.probes {
+		p.end(transport.Outcome(e, l.conn != nil))
 	}
 	l.probes = nil
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -50,6 +50,7 @@
 // bootInfo is the settings object as the wire names it.
 type bootInfo struct {
 	Balancers int  `json:"balancers"`
+	Zone      int  `json:"zone"`
 	Tick      span `json:"tick"`
 	Classes   []struct {
 		Name       string  `json:"name"`
@@ -121,7 +122,7 @@
 	}
 	s := &out.Module
 	*s = decide.Settings{
-		Aggregators: b.Balancers, Tick: time.Duration(b.Tick),
+		Aggregators: b.Balancers, Zone: b.Zone, Tick: time.Duration(b.Tick),
 		Cells: b.Info.Positions, Span: b.Info.Span, PartsPerCall: b.Info.PerCall,
 		AskDiscovery: b.Discovery == "ask",
 		MaxOpen:      b.Caps.MaxOpen, MaxAttempts: b.Caps.MaxAttempts,
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -15,8 +15,7 @@
 const (
 	maxPending   = 1 << 20               // bytes that may wait for a peer that reads slowly
 	maxUnhandled = 256 << 10             // bytes read on one connection that wait for the owner's goroutine
-	maxBacklog   = 4 << 20               // the same on all of them, before one may have only fairUnread
-	fairUnread   = 96 << 10              // as much as a client's longest request
+	fairUnread   = 96 << 10              // the same while there is much on all: as much as a client's longest request
 	maxSkimmed   = 80 << 20              // bytes passed over while a client takes our last words
 	stallTime    = 2 * time.Second       // how long a peer may take for what waits for it
 	lingerCheck  = 50 * time.Millisecond // pace at which a half-closed connection is looked at
@@ -59,8 +58,7 @@
 	skims         atomic.Bool // what still comes is read and passed over
 	skimmed       int64       // bytes passed over; the worker's own
 	unhandled     atomic.Int64
-	backlog       *atomic.Int64 // bytes unhandled on all connections
-	release       func()        // gives the place among the open ones back
+	net           *Net
 	in, reads     atomic.Int64
 	local, remote net.Addr
 
@@ -80,9 +78,8 @@
 }
 
 func (n *Net) newConn(nc netpoll.Connection, dialed bool) *Conn {
-	c := &Conn{post: n.post, nc: nc, dialed: dialed, onEnd: n.onEnd, opened: time.Now(), backlog: &n.backlog,
-		release: func() { n.open.Add(-1) },
-		local:   nc.LocalAddr(), remote: nc.RemoteAddr()}
+	c := &Conn{post: n.post, nc: nc, dialed: dialed, onEnd: n.onEnd, opened: time.Now(), net: n,
+		local: nc.LocalAddr(), remote: nc.RemoteAddr()}
 	if f, ok := nc.(netpoll.Conn); ok {
 		c.fd = f.Fd()
 	}
@@ -123,7 +120,7 @@
 	}
 	c.post.Post(func() {
 		c.unhandled.Add(-int64(take))
-		c.backlog.Add(-int64(take))
+		c.net.backlog.Add(-int64(take))
 		// A peer's last words count, though it has left since; after an end of our
 		// own nothing does.
 		if !c.muted.Load() {
@@ -138,12 +135,12 @@
 // says is of no use with a gap.
 func (c *Conn) take(n int) int {
 	most := int64(maxUnhandled)
-	if c.backlog.Load() > maxBacklog {
+	if c.net.backlog.Load() > c.net.most {
 		most = fairUnread
 	}
 	n = int(max(0, min(int64(n), most-c.unhandled.Load())))
 	c.unhandled.Add(int64(n))
-	c.backlog.Add(int64(n))
+	c.net.backlog.Add(int64(n))
 	return n
 }
 
@@ -403,7 +400,7 @@
 		return
 	}
 	c.told = true
-	c.release()
+	c.net.open.Add(-1)
 	st := Stats{Local: c.local, Remote: c.remote, Dialed: c.dialed, Opened: c.opened, Ended: time.Now(),
 		In: c.in.Load(), Out: c.written, Reads: c.reads.Load(), Writes: c.writes, End: c.end}
 	c.mu.Unlock()
--- a/internal/transport/net.go
+++ b/internal/transport/net.go
@@ -101,6 +101,7 @@
 	once  sync.Once
 
 	backlog atomic.Int64 // bytes read that wait for the owner's goroutine
+	most    int64        // of them, before one connection may have only its fair share
 	mu      sync.Mutex
 	silent  []*Conn // accepted ones that had said nothing when last looked at, oldest first
 }
@@ -112,10 +113,16 @@
 	done    func(*Conn, End)
 }
 
-// NewNet returns a Net whose callbacks are posted to p. It holds at most max
-// connections. onEnd, which may be nil, is told of each connection that ended.
-func NewNet(p Poster, max int, onEnd func(Stats)) *Net {
-	return &Net{post: p, onEnd: onEnd, max: int64(max), dials: make(chan dial, maxDials)}
+// Limits bound what a Net holds.
+type Limits struct {
+	Conns   int   // connections
+	Backlog int64 // bytes read that wait for the owner's goroutine
+}
+
+// NewNet returns a Net whose callbacks are posted to p. OnEnd, which may be nil, is
+// told of each connection that ended.
+func NewNet(p Poster, lim Limits, onEnd func(Stats)) *Net {
+	return &Net{post: p, onEnd: onEnd, max: int64(lim.Conns), dials: make(chan dial, maxDials), most: lim.Backlog}
 }
 
 // Crowded reports whether accepted connections will soon be turned away.
@@ -130,7 +137,7 @@
 func (n *Net) room(newcomer *Conn) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if int64(len(n.silent)) > 2*n.max {
+	if int64(len(n.silent)) > n.max/2 {
 		n.silent = slices.DeleteFunc(n.silent, func(c *Conn) bool { return c.in.Load() > 0 || c.ended() })
 	}
 	for n.open.Load() > n.max-n.max/reserve {
