Serve clients that stay until shortly before the kill that follows SIGTERM

The log has n0 end 1.1 s after SIGTERM and be started again 3.9 s after it. Checked: the front goes on dealing out the dead mixer, and its zone has no other; the platform kills no sooner than the longest deadline (3 s at most) and 0.7 s after SIGTERM, and clients use what connections they have. At fault: cmd/kiteloft closed its clients' connections half a second after SIGTERM. Change: readiness fails at once; clients are served until 0.6 s before the earliest kill, or until none is left; what is open 0.15 s before it is failed. Test: TestPlannedRestart keeps asking on one connection; before, it was closed after 0.5 s.

--- a/cmd/kiteloft/bed_test.go
+++ b/cmd/kiteloft/bed_test.go
@@ -299,6 +299,7 @@
 	if b.cmd.ProcessState != nil {
 		return
 	}
+	http.DefaultClient.CloseIdleConnections() // a client that stays is served for longer
 	_ = b.cmd.Process.Signal(syscall.SIGTERM)
 	select {
 	case err := <-b.exit:
--- a/cmd/kiteloft/clients_test.go
+++ b/cmd/kiteloft/clients_test.go
@@ -196,14 +196,17 @@
 	return addr
 }
 
-// TestPlannedRestart sends SIGTERM with a query open and expects new connections
-// to be taken for 0.4 s, all answers, and an end by itself.
+// TestPlannedRestart sends SIGTERM with a query open. New connections are taken
+// for 0.4 s, a client that keeps its connection is served until shortly before the
+// platform kills (the longest deadline, here capped at 3 s, and 0.7 s more), all
+// get their answers, and the mixer ends by itself.
 func TestPlannedRestart(t *testing.T) {
 	t.Parallel()
-	b := start(t, platformWire{}, func(p part) reply { r := sound(p); r.after = time.Second; return r })
+	b := start(t, platformWire{}, func(p part) reply { r := sound(p); r.after = 300 * time.Millisecond; return r })
 	before := dial(t, b)
 	_, _ = io.WriteString(before, request("a1", lookup, ""))
 	b.wait(t, "the query is with the nodes", func() bool { return len(b.parts()) > 0 })
+	told := time.Now()
 	if err := b.cmd.Process.Signal(syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
@@ -215,6 +218,24 @@
 			t.Error(diff)
 		}
 	}
+	r := bufio.NewReader(before)
+	served, lastSent := 0, time.Time{}
+	for closes := false; !closes; served++ {
+		lastSent = time.Now()
+		_, _ = io.WriteString(before, request(fmt.Sprintf("b%d", served), lookup, ""))
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil {
+			break // closed between two requests
+		}
+		if resp.StatusCode != 200 {
+			t.Errorf("request %d got %d", served, resp.StatusCode)
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		closes = resp.Close
+	}
+	if on := lastSent.Sub(told); served < 2 || on < 2*time.Second {
+		t.Errorf("%d more requests served, until %v after SIGTERM", served, on)
+	}
 	select {
 	case err := <-b.exit:
 		if err != nil {
--- a/cmd/kiteloft/main.go
+++ b/cmd/kiteloft/main.go
@@ -31,13 +31,10 @@
 	// clockStart is what the module's clock shows at our start: servers that
 	// started before us have to have a time above zero.
 	clockStart   = 24 * time.Hour
-	ownFiles     = 40                     // descriptors that are not connections
-	logLines     = 1000                   // lines that may wait to be written
-	backlogShare = 8                      // one in so many bytes of memory may hold what was read and not looked at
-	memoryShare  = 0.7                    // share of the memory limit at which the collector works harder
-	acceptOn     = 500 * time.Millisecond // how long new connections are taken after SIGTERM; 0.4 s are asked for
-	lingerOn     = 300 * time.Millisecond // how long clients get to take their last answer
-	lastWrites   = 20 * time.Millisecond  // for the last flow records to leave
+	ownFiles     = 40   // descriptors that are not connections
+	logLines     = 1000 // lines that may wait to be written
+	backlogShare = 8    // one in so many bytes of memory may hold what was read and not looked at
+	memoryShare  = 0.7  // share of the memory limit at which the collector works harder
 )
 
 func main() {
@@ -128,7 +125,8 @@
 	if err != nil {
 		return fmt.Errorf("LB_LISTEN: %w", err)
 	}
-	listeners := []*transport.Listener{ln}
+	e := &ending{core: core, longest: longest(set.Module.Classes), front: front, listeners: []*transport.Listener{ln}, flows: flows,
+		log: log, stop: make(chan struct{})}
 	var columns *flight.Front
 	if cfg.FlightListen != "" {
 		if columns, err = flight.New(core, set.Module.Classes, net, cfg.Seed, log); err != nil {
@@ -138,7 +136,7 @@
 		if err != nil {
 			return fmt.Errorf("flight.listen: %w", err)
 		}
-		listeners = append(listeners, ln)
+		e.listeners, e.columns = append(e.listeners, ln), columns
 		log.Info().Str("listen", ln.Addr().String()).Msg("Flight front serves")
 	}
 	core.Post(func() {
@@ -154,7 +152,6 @@
 	})
 	log.Info().Str("listen", ln.Addr().String()).Int("nodes", len(cfg.Known.Members)).Msg("mixer serves")
 
-	stop := make(chan struct{})
 	go func() {
 		held := cfg
 		for ending := false; !ending; {
@@ -166,42 +163,9 @@
 			}
 		}
 		log.Info().Msg("mixer ends: told to")
-		core.Post(func() {
-			core.After(acceptOn, func() {
-				for _, ln := range listeners {
-					if err := ln.Close(); err != nil {
-						log.Warn().Err(err).Msg("listener would not close")
-					}
-				}
-				front.Stop()
-				if columns != nil {
-					columns.Stop()
-				}
-				endQuietly(core, func() {
-					if flows != nil {
-						flows.Flush()
-					}
-					core.After(lastWrites, func() { close(stop) })
-				})
-			})
-		})
+		core.Post(e.begin)
 	}()
-	core.Run(stop)
+	core.Run(e.stop)
 	log.Info().Msg("mixer has ended")
 	return nil
 }
-
-// endQuietly calls end once nothing is open and nothing has been for a while.
-func endQuietly(core *broker.Core, end func()) {
-	core.After(lingerOn, func() {
-		core.Stop(func() {
-			core.After(lingerOn, func() {
-				if core.Held() > 0 { // asked on a connection that was still open
-					endQuietly(core, end)
-					return
-				}
-				end()
-			})
-		})
-	})
-}
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -6,7 +6,9 @@
 package broker
 
 import (
+	"cmp"
 	"maps"
+	"slices"
 	"time"
 
 	"kiteloft/decide"
@@ -253,6 +255,15 @@
 // Stop calls idle, once, when no query is open any more.
 func (c *Core) Stop(idle func()) { c.stopping, c.idle = true, idle }
 
+// EndAll fails every query that is open: the program is about to be killed.
+func (c *Core) EndAll() {
+	open := slices.Collect(maps.Values(c.queries))
+	slices.SortFunc(open, func(a, b *query) int { return cmp.Compare(a.number, b.number) })
+	for _, q := range open {
+		c.abandon(q)
+	}
+}
+
 // ---- queries ----
 
 // Verdict is what Take says of a query.
@@ -346,6 +357,11 @@
 		return
 	}
 	c.log.Guard("one-answer", q.WireID, "the module had not ended it")
+	c.abandon(q)
+}
+
+// abandon fails a query without the module's word.
+func (c *Core) abandon(q *query) {
 	c.close(q)
 	q.Answerer.Failed(true)
 	c.events = append(c.events, decide.ClientGone{Query: q.id})
--- a/internal/front/flight/flight.go
+++ b/internal/front/flight/flight.go
@@ -63,6 +63,9 @@
 		rng: rand.New(rand.NewPCG(seed, 1)), clients: map[*client]struct{}{}}, nil
 }
 
+// Clients is the number of connections.
+func (f *Front) Clients() int { return len(f.clients) }
+
 // Start begins to look after connections.
 func (f *Front) Start() { f.core.After(front.SweepPace, f.sweep) }
 
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -37,6 +37,12 @@
 	ready   bool
 }
 
+// Clients is the number of connections.
+func (f *Front) Clients() int { return len(f.clients) }
+
+// Drain tells those who check our health to send nobody here any more.
+func (f *Front) Drain() { f.ready = false }
+
 // New returns a Front for the classes. It answers that it is ready once Ready
 // is called.
 func New(core front.Core, classes []decide.Class, room front.Room, log zerolog.Logger) *Front {
@@ -164,7 +170,7 @@
 		switch {
 		case m.Method != "GET" && m.Method != "HEAD":
 			text(405, "health is asked for with GET")
-		case path == "/health/ready" && (!c.f.ready || c.f.closing):
+		case path == "/health/ready" && !c.f.ready:
 			text(503, "not ready")
 		case m.Method == "HEAD":
 			c.respond(200, "text/plain", 3, nil, 0, m.Close)
