--- a/decide/decide.go
+++ b/decide/decide.go
@@ -154,7 +154,7 @@
 	}
 	for _, s := range m.order {
 		if bars := !s.listed || s.State != Running; bars != s.barred {
-			s.barred, s.barredAt, s.shut = bars, m.now, false
+			s.barred, s.barredAt = bars, m.now
 		}
 	}
 	m.dropUnlisted()
@@ -448,7 +448,6 @@
 		m.answered.add(m.now, 1)
 	case Failed, Full, Reset:
 		m.heard(s)
-		s.shut = s.shut || s.barred && e.Outcome == Full
 		if e.Outcome == Reset {
 			s.usedAt = 0
 		}
@@ -539,7 +538,7 @@
 // fit tells whether the server may take the part by the offset rule: a suspect gets a repeatable part now
 // and then, as a trial, so that it is found again when it is sound; a silent one is probed instead.
 func (m *Module) fit(p *part, s *server) bool {
-	if s.barred || !m.allowed(p, s) {
+	if !m.allowed(p, s) {
 		return false
 	}
 	doubt := m.suspect(s)
@@ -557,11 +556,11 @@
 	return (!s.barred && s.State == Running || m.leaving(s)) && m.coldRoom(s)
 }
 
-// leaving tells whether the server drains, is not known to turn parts away, and may still be sent some. It
-// guards the shards whose other holder is gone or failing, while the list is behind with the successors:
-// the rule leaves DrainGrace, of which leaveShare is used, since a send may wait for its connection.
+// leaving tells whether the server drains and may still take its share, unless it turns parts away. It guards
+// the other holders, which the rest of its load would fall on at once while the list is behind with the
+// successors: the rule leaves DrainGrace, of which leaveShare is used, since a send may wait to be written.
 func (m *Module) leaving(s *server) bool {
-	return s.listed && s.State == Stopping && !s.shut &&
+	return s.listed && s.State == Stopping && s.fault <= faultSuspect &&
 		m.now-s.barredAt < time.Duration(leaveShare*float64(m.set.DrainGrace))
 }
 
--- a/decide/state.go
+++ b/decide/state.go
@@ -56,7 +56,6 @@
 	listed               bool
 	barred               bool          // Stopping, Deleted or gone from the list
 	barredAt             time.Duration // when that last changed
-	shut                 bool          // barred, and turns parts away
 	fill, read           *ddsketch.DDSketch
 	swapAt               time.Duration
 	out                  int // attempts
