Pass over connections that say nothing, and probe nodes over new ones

Checked: CPU 0.2 and descriptors 73 of 1024 at most, no node off the list. Each mixer has one connection to a node; when that is dead, all parts and the module's probes go on being written to it, since it is not quiet while they wait. At fault: node.Links.find and Probe, which know of a connection's end only by its close. The core's last guard stands a tick before a query's end where that is less than 3 ms: it had come before the module's own short answers. Tests: TestADeadConnectionIsLeft fails without it; TestNothingStays... counts what stays of nodes and queries under churn (held before, too). TestHangUpMovesDiscovery told of a drain, in whose window parts may go: it now tells that the node left.

--- a/cmd/kiteloft/bed_test.go
+++ b/cmd/kiteloft/bed_test.go
@@ -372,9 +372,21 @@
 func (b *bed) tell(i int, phase string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.revision++
 	b.members[i].Phase = phase
-	b.changed[b.members[i].ID] = b.revision
+	b.listed(b.members[i].ID)
+}
+
+// join adds a member to the list.
+func (b *bed) join(m member) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.members = append(b.members, m)
+	b.listed(m.ID)
+}
+
+func (b *bed) listed(id string) {
+	b.revision++
+	b.changed[id] = b.revision
 	close(b.news)
 	b.news = make(chan struct{})
 }
--- a/cmd/kiteloft/links_test.go
+++ b/cmd/kiteloft/links_test.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"fmt"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -91,3 +93,34 @@
 		return len(b.nodes[0].parts()) == before
 	})
 }
+
+// TestNothingStaysOfNodesThatLeft replaces nodes by new ones under new ids, some
+// of which fall silent before they go, and counts descriptors.
+func TestNothingStaysOfNodesThatLeft(t *testing.T) {
+	t.Parallel()
+	b, n := alone(t, sound, `"conn_idle":30`, `"conn_idle":30`)
+	ask := func() { // is served by the second holder at the latest
+		_ = (platformWire{}).ask(t, b, query{class: "lookup", shards: []int{1}, deadline: 2 * time.Second})
+	}
+	descriptors := func() int {
+		list, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", b.cmd.Process.Pid))
+		if err != nil {
+			t.Skip("no list of descriptors here")
+		}
+		return len(list)
+	}
+	ask()
+	before := descriptors()
+	for i := range 12 {
+		next := &standIn{id: fmt.Sprintf("t-%d", i), do: sound}
+		b.join(member{ID: next.id, HostPort: platformWire{}.node(t, next), Locality: "a", Phase: "active", Size: 1})
+		if i%3 == 0 {
+			n.answers(silent)
+		}
+		b.tell(i, "leaving")
+		b.wait(t, "the new node is used", func() bool { ask(); return len(next.parts()) > 0 })
+		b.tell(i, "left")
+		n = next
+	}
+	b.wait(t, "the connections of those that left are closed", func() bool { return descriptors() <= before+1 })
+}
--- a/cmd/kiteloft/reload_test.go
+++ b/cmd/kiteloft/reload_test.go
@@ -11,7 +11,7 @@
 // the query is answered.
 func TestHangUpMovesDiscovery(t *testing.T) {
 	t.Parallel()
-	b := start(t, platformWire{}, func(p part) reply { r := sound(p); r.after = time.Second; return r })
+	b := start(t, platformWire{}, first(func(p part) reply { r := sound(p); r.after = time.Second; return r })())
 	hangUp := func() {
 		t.Helper()
 		if err := b.cmd.Process.Signal(syscall.SIGHUP); err != nil {
@@ -36,22 +36,22 @@
 		// The whole list, then a watch.
 		b.wait(t, "the new address is followed", func() bool { return b.called(next) >= 2 })
 		if i == 1 {
-			b.tell(0, "leaving")
+			b.tell(0, "left")
 			b.wait(t, "the watch there goes on", func() bool { return b.called(next) >= 3 })
 		}
 	}
 	if r := <-open; r.kind != "served" {
 		t.Errorf("client got %+v", r)
 	}
-	before := len(b.nodes[0].parts())
-	for range 4 {
-		if r := (platformWire{}).ask(t, b, query{class: "lookup", shards: []int{1}, deadline: 4 * time.Second}); r.kind != "served" {
-			t.Errorf("client got %+v", r)
+	b.wait(t, "what the new address tells counts", func() bool {
+		before := len(b.nodes[0].parts())
+		for range 6 {
+			if r := (platformWire{}).ask(t, b, query{class: "lookup", shards: []int{1}, deadline: 4 * time.Second}); r.kind != "served" {
+				t.Fatalf("client got %+v", r)
+			}
 		}
-	}
-	if n := len(b.nodes[0].parts()); n != before {
-		t.Errorf("%d parts went to a node that drains", n-before)
-	}
+		return len(b.nodes[0].parts()) == before
+	})
 	if err := b.cmd.Process.Signal(syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/kiteloft/spoilt_test.go
+++ b/cmd/kiteloft/spoilt_test.go
@@ -100,3 +100,25 @@
 		})
 	}
 }
+
+// TestADeadConnectionIsLeft has one connection to a node fall silent for good while
+// new ones to it live: the node is found again by a new one.
+func TestADeadConnectionIsLeft(t *testing.T) {
+	t.Parallel()
+	b, n := alone(t, silent, `"conn_idle":30`, `"conn_idle":30`)
+	n.answers(func(p part) reply {
+		if len(n.came) < 2 { // the list is held while it is asked
+			return reply{}
+		}
+		return sound(p)
+	})
+	for range 3 {
+		_ = (platformWire{}).ask(t, b, query{class: "lookup", shards: []int{1}, deadline: 700 * time.Millisecond})
+	}
+	b.wait(t, "a client is served over a new connection", func() bool {
+		return (platformWire{}).ask(t, b, query{class: "lookup", shards: []int{1}, deadline: 700 * time.Millisecond}).kind == "served"
+	})
+	if came, _ := n.connections(); came > 5 {
+		t.Errorf("%d connections", came)
+	}
+}
--- a/decide/symptom_test.go
+++ b/decide/symptom_test.go
@@ -1,8 +1,11 @@
 package decide
 
 import (
+	"fmt"
 	"testing"
 	"time"
+
+	"github.com/google/go-cmp/cmp"
 )
 
 func TestLatePartGetsOneCopyAndTheTwinIsCancelled(t *testing.T) {
@@ -821,3 +824,26 @@
 		r.pass(100 * ms)
 	}
 }
+
+// Over a long day servers are replaced by new ones and queries come and go: nothing may stay of those that went.
+func TestNothingStaysOfWhatWent(t *testing.T) {
+	set := testSettings()
+	set.ProbesAllowed = true
+	r := newRig(t, set, "s0")
+	for i := range 300 {
+		next := Server{ID: fmt.Sprintf("s%d", i+1), Started: r.now}
+		r.step(ListChange{Servers: []Server{{ID: fmt.Sprintf("s%d", i), State: Deleted}, next}})
+		_, parts := r.query(i%2, 1)
+		if len(r.sent[parts[0]]) > 0 && i%3 > 0 { // every third is lost
+			r.done(parts[0], 0, OK, 5*ms)
+		}
+		r.pass(100 * ms)
+	}
+	r.pass(10 * time.Second)
+	r.step(ListChange{})
+	m := r.m
+	got := []int{len(m.servers), len(m.order), len(m.queries), len(m.ids), len(m.live), len(m.parts), len(m.out)}
+	if diff := cmp.Diff([]int{1, 1, 0, 0, 0, 0, 0}, got); diff != "" || len(m.taken) > 100 || len(m.holders) > 1 {
+		t.Errorf("servers, order, queries, ids, live, parts, out: %s; %d taken, %d holders", diff, len(m.taken), len(m.holders))
+	}
+}
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -92,8 +92,8 @@
 	Guard(rule, id, about string) // a guard of the core's stepped in
 }
 
-// lastGuard is how long before a query's time is up the core ends it itself. The
-// module does so two ticks before.
+// lastGuard is how long before a query's time is up the core ends it itself, or a
+// tick where that is less: the module does so two ticks before.
 const lastGuard = 3 * time.Millisecond
 
 // forgetGone is how long after its window a node that is gone is remembered.
@@ -301,7 +301,7 @@
 		Key: in.Key, Left: in.Left, Work: work, Repeat: in.Repeat})
 	c.open(q, in.Parts)
 	c.hold(q, 1)
-	c.timers.add(q.end-lastGuard, func() { c.lastMoment(q) })
+	c.timers.add(q.end-min(lastGuard, c.set.Module.Tick), func() { c.lastMoment(q) })
 	return Taken, &Handle{c, q}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -31,6 +31,8 @@
 	idleMargin   = 0.1 // share of ConnIdle before its end at which we close
 	sweepPace    = 250 * time.Millisecond
 	goneMemory   = 10 * time.Second       // how long the result of a part given up, or a second copy, may still come
+	silentTime   = 200 * time.Millisecond // after so long without a word, what waits shows that a connection may be dead
+	mostSilent   = 3                      // silent connections to a node beyond which no other is opened for that
 	stallTime    = 100 * time.Millisecond // how long a message that has begun may stand still
 	probeTimeout = 500 * time.Millisecond
 )
@@ -97,6 +99,7 @@
 	retired bool                     // the node said more than it was asked: nothing new goes here
 	partial bool                     // a message has begun, and a look at it is due
 	heard   time.Duration            // when bytes last came
+	waits   time.Duration            // since when something has waited for a word; 0: nothing does
 	probes  []*probe                 // in the order in which their answers come
 	used    time.Duration
 }
@@ -149,7 +152,7 @@
 					delete(l.done, id)
 				}
 			}
-			if l.conn != nil && l.quiet() && (!p.listed || l.retired || l.addr != p.addr || !l.fresh()) {
+			if l.conn != nil && l.quiet() && (!p.listed || l.retired || l.silent() || l.addr != p.addr || !l.fresh()) {
 				l.conn.Close(transport.LocalIdle)
 			}
 		}
@@ -165,6 +168,18 @@
 	return len(l.out) == 0 && !slices.ContainsFunc(l.probes, func(p *probe) bool { return !p.told })
 }
 
+// silent tells whether the node has left the connection without a word for so
+// long that it may be dead, though nothing says so: it is passed over until a word
+// comes, for a node whose other connections live.
+func (l *Link) silent() bool { return l.waits > 0 && l.ls.core.Now()-l.waits > silentTime }
+
+// asks notes that a word is waited for.
+func (l *Link) asks() {
+	if l.waits == 0 {
+		l.waits = l.ls.core.Now()
+	}
+}
+
 // fresh tells whether a connection is far from being closed as idle.
 func (l *Link) fresh() bool {
 	idle := l.ls.lim.ConnIdle
@@ -225,9 +240,22 @@
 // find returns a connection that takes the call, or else its first part, or a
 // new one.
 func (ls *Links) find(p *peer, call []*broker.Attempt) *Link {
+	mute := 0
 	for _, want := range [][]*broker.Attempt{call, call[:1]} {
+		mute = 0
 		for _, l := range p.links {
-			if l.addr == p.addr && (l.conn == nil || l.fresh() || !l.quiet()) && l.takes(want) {
+			switch {
+			case l.silent():
+				mute++
+			case l.addr == p.addr && (l.conn == nil || l.fresh() || !l.quiet()) && l.takes(want):
+				return l
+			}
+		}
+	}
+	// Guards descriptors, and the node, against new connections to one that hangs.
+	if mute > mostSilent {
+		for _, l := range slices.Backward(p.links) {
+			if l.addr == p.addr && l.takes(call[:1]) {
 				return l
 			}
 		}
@@ -300,6 +328,7 @@
 	}
 	l.waiting = nil
 	for range l.probes {
+		l.asks()
 		l.session.Probe()
 	}
 }
@@ -312,6 +341,7 @@
 		t.sent = true
 	}
 	l.used = l.ls.core.Now()
+	l.asks()
 	l.session.Send(batch)
 }
 
@@ -326,6 +356,10 @@
 		t.link.gone[t.ID] = ls.core.Now()
 		t.link.session.GiveUp(t)
 	}
+	// A node that stops its work says nothing more: that is no silence.
+	if l := t.link; l.quiet() && !l.silent() {
+		l.waits = 0
+	}
 }
 
 // CloseIdle implements broker.Nodes.
@@ -344,13 +378,17 @@
 func (ls *Links) Probe(n broker.Node, done func(decide.Outcome)) {
 	p := ls.peer(n)
 	var l *Link
+	mute := 0
 	for _, have := range p.links {
-		if !have.ended && !have.retired && have.addr == p.addr {
+		if have.silent() {
+			mute++
+		}
+		if !have.ended && !have.retired && have.addr == p.addr && (l == nil || l.silent() || !have.silent()) {
 			l = have
 		}
 	}
-	if l == nil {
-		l = ls.open(p)
+	if l == nil || l.silent() && mute <= mostSilent {
+		l = ls.open(p) // it may be the connection that is dead, not the node
 	}
 	pr := &probe{done: done, at: ls.core.Now()}
 	l.probes = append(l.probes, pr)
@@ -364,6 +402,7 @@
 		}
 	})
 	if l.session != nil {
+		l.asks()
 		l.session.Probe()
 	}
 }
@@ -423,11 +462,14 @@
 // Data implements transport.Handler.
 func (l *Link) Data(b []byte) {
 	l.used = l.ls.core.Now()
-	l.heard = l.used
+	l.heard, l.waits = l.used, 0
 	if err := l.session.Data(b); err != nil {
 		l.spoilt(err)
 		return
 	}
+	if !l.quiet() {
+		l.asks()
+	}
 	if l.session.Partial() {
 		if l.quiet() && len(l.gone) == 0 {
 			l.spoilt(errors.New("bytes that nothing asked for"))
