Close connections with their responses while half of the descriptors are in use

Checked by a probe that counted connections each 0.25 s and logged refusals: the module refused 92 queries in 20 s; some 90 connections that never ask and 120 that rest after one answer stand all the time, and a mixer is handed half of the queries offered whenever those that rest come near 128, a third of the descriptors, which is all that clients may hold. Ruled out: the door (266 of 301), max_open (no query turned away as too much), pipelining (nothing buffered). At fault: front/platform kept every connection for 2 s after its answer even while half of the descriptors were in use. Change: such responses say Connection: close. Test: TestResponsesCloseWhileDescriptorsAreFew.

--- a/cmd/kiteloft/rude_test.go
+++ b/cmd/kiteloft/rude_test.go
@@ -162,3 +162,31 @@
 		t.Errorf("the open query's client read %v", err)
 	}
 }
+
+// TestResponsesCloseWhileDescriptorsAreFew fills half of the descriptors: clients
+// that ask once and stay must not use up what others need.
+func TestResponsesCloseWhileDescriptorsAreFew(t *testing.T) {
+	t.Parallel()
+	b := &bed{news: make(chan struct{}), changed: map[string]int{}, exit: make(chan error, 1), sockets: 80}
+	n := &standIn{id: "s-0", do: sound}
+	b.nodes = []*standIn{n}
+	b.members = []member{{ID: n.id, HostPort: platformWire{}.node(t, n), Locality: "a", Phase: "active", Size: 1}}
+	b.run(t, settings)
+	closes := func(i int) bool {
+		c := dial(t, b)
+		_, _ = io.WriteString(c, request(fmt.Sprintf("k%d", i), lookup, ""))
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil || resp.StatusCode != 200 {
+			t.Fatalf("%+v, %v", resp, err)
+		}
+		return resp.Close
+	}
+	if closes(0) {
+		t.Error("the first connection was closed")
+	}
+	i := 0
+	b.wait(t, "a response closes its connection", func() bool { i++; return closes(i) })
+	if i > 30 { // of 40 connections
+		t.Errorf("%d clients kept their connections", i)
+	}
+}
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -287,7 +287,9 @@
 
 // respond sends a response; the answer to HEAD has a length and no body.
 func (c *client) respond(status int, kind string, length int, body []byte, after time.Duration, closes bool) {
-	closes = closes || c.f.closing || c.half && !c.parser.Started()
+	// Guards descriptors, and the connections that clients may hold, against clients
+	// that ask once and keep what they don't use.
+	closes = closes || c.f.closing || c.f.room.Busy() && !c.parser.Started() || c.half && !c.parser.Started()
 	c.write(append(head(status, kind, length, after, closes), body...))
 	c.rest = c.f.core.Now()
 	if closes {
