--- a/cmd/kiteloft/clients_test.go
+++ b/cmd/kiteloft/clients_test.go
@@ -250,11 +250,7 @@
 // descriptors for: those between requests are closed, and queries are served.
 func TestIdleClientsMakeRoom(t *testing.T) {
 	t.Parallel()
-	b := &bed{news: make(chan struct{}), changed: map[string]int{}, exit: make(chan error, 1), sockets: 80}
-	n := &standIn{id: "s-0", do: sound}
-	b.nodes = []*standIn{n}
-	b.members = []member{{ID: n.id, HostPort: platformWire{}.node(t, n), Locality: "a", Phase: "active", Size: 1}}
-	b.run(t, settings)
+	b, _ := single(t, sound, 80, settings)
 	for i := range 120 {
 		c := dial(t, b)
 		_, _ = io.WriteString(c, request(fmt.Sprintf("a%d", i), lookup, ""))
--- a/cmd/kiteloft/links_test.go
+++ b/cmd/kiteloft/links_test.go
@@ -11,17 +11,38 @@
 // alone starts a mixer over one stock node, under changed settings.
 func alone(t *testing.T, do func(part) reply, old, new string) (*bed, *standIn) {
 	t.Helper()
-	b := &bed{news: make(chan struct{}), changed: map[string]int{}, exit: make(chan error, 1)}
-	n := &standIn{id: "s-0", do: do}
-	b.nodes = []*standIn{n}
-	b.members = []member{{ID: n.id, HostPort: platformWire{}.node(t, n), Locality: "a", Phase: "active", Size: 1}}
 	if !strings.Contains(settings, old) {
 		t.Fatalf("no %s in the settings", old)
 	}
-	b.run(t, strings.Replace(settings, old, new, 1))
+	return single(t, do, 0, strings.Replace(settings, old, new, 1))
+}
+
+// single starts a mixer over one stock node; with sockets 0 it may have as many as
+// any.
+func single(t *testing.T, do func(part) reply, sockets int, settings string) (*bed, *standIn) {
+	t.Helper()
+	b := &bed{news: make(chan struct{}), changed: map[string]int{}, exit: make(chan error, 1), sockets: sockets}
+	n := &standIn{id: "s-0", do: do}
+	b.nodes = []*standIn{n}
+	b.members = []member{{ID: n.id, HostPort: platformWire{}.node(t, n), Locality: "a", Phase: "active", Size: 1}}
+	b.run(t, settings)
 	return b, n
 }
 
+// leaves waits until queries are served and the first node gets none of them.
+func (b *bed) leaves(t *testing.T, what string) {
+	t.Helper()
+	b.wait(t, what, func() bool {
+		before := len(b.nodes[0].parts())
+		for range 6 {
+			if r := (platformWire{}).ask(t, b, query{class: "lookup", shards: []int{1}, deadline: 4 * time.Second}); r.kind != "served" {
+				t.Fatalf("client got %+v", r)
+			}
+		}
+		return len(b.nodes[0].parts()) == before
+	})
+}
+
 // TestIdleConnectionsCloseBeforeTheNodeDoes keeps clear of requests written to a
 // connection that the node's machine has closed.
 func TestIdleConnectionsCloseBeforeTheNodeDoes(t *testing.T) {
@@ -83,22 +104,14 @@
 	b.mu.Lock()
 	b.down = false
 	b.mu.Unlock()
-	b.wait(t, "the mixer hears that the node has left", func() bool {
-		before := len(b.nodes[0].parts())
-		for range 6 {
-			if r := (platformWire{}).ask(t, b, query{class: "lookup", shards: []int{1}, deadline: 4 * time.Second}); r.kind != "served" {
-				t.Fatalf("client got %+v", r)
-			}
-		}
-		return len(b.nodes[0].parts()) == before
-	})
+	b.leaves(t, "the mixer hears that the node has left")
 }
 
 // TestNothingStaysOfNodesThatLeft replaces nodes by new ones under new ids, some
 // of which fall silent before they go, and counts descriptors.
 func TestNothingStaysOfNodesThatLeft(t *testing.T) {
 	t.Parallel()
-	b, n := alone(t, sound, `"conn_idle":30`, `"conn_idle":30`)
+	b, n := single(t, sound, 0, settings)
 	ask := func() { // is served by the second holder at the latest
 		_ = (platformWire{}).ask(t, b, query{class: "lookup", shards: []int{1}, deadline: 2 * time.Second})
 	}
--- a/cmd/kiteloft/reload_test.go
+++ b/cmd/kiteloft/reload_test.go
@@ -43,15 +43,7 @@
 	if r := <-open; r.kind != "served" {
 		t.Errorf("client got %+v", r)
 	}
-	b.wait(t, "what the new address tells counts", func() bool {
-		before := len(b.nodes[0].parts())
-		for range 6 {
-			if r := (platformWire{}).ask(t, b, query{class: "lookup", shards: []int{1}, deadline: 4 * time.Second}); r.kind != "served" {
-				t.Fatalf("client got %+v", r)
-			}
-		}
-		return len(b.nodes[0].parts()) == before
-	})
+	b.leaves(t, "what the new address tells counts")
 	if err := b.cmd.Process.Signal(syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/kiteloft/rude_test.go
+++ b/cmd/kiteloft/rude_test.go
@@ -113,11 +113,7 @@
 // usual clients to be served all the while.
 func TestACrowdStarvesNobody(t *testing.T) {
 	t.Parallel()
-	b := &bed{news: make(chan struct{}), changed: map[string]int{}, exit: make(chan error, 1), sockets: 128}
-	n := &standIn{id: "s-0", do: sound}
-	b.nodes = []*standIn{n}
-	b.members = []member{{ID: n.id, HostPort: platformWire{}.node(t, n), Locality: "a", Phase: "active", Size: 1}}
-	b.run(t, settings)
+	b, _ := single(t, sound, 128, settings)
 	nonsense := strings.Repeat(strings.Replace(request("x", lookup, ""), "/lookup", "/nothing", 1), 300)
 	for i := range 300 {
 		c := dial(t, b)
@@ -167,11 +163,7 @@
 // that ask once and stay must not use up what others need.
 func TestResponsesCloseWhileDescriptorsAreFew(t *testing.T) {
 	t.Parallel()
-	b := &bed{news: make(chan struct{}), changed: map[string]int{}, exit: make(chan error, 1), sockets: 80}
-	n := &standIn{id: "s-0", do: sound}
-	b.nodes = []*standIn{n}
-	b.members = []member{{ID: n.id, HostPort: platformWire{}.node(t, n), Locality: "a", Phase: "active", Size: 1}}
-	b.run(t, settings)
+	b, _ := single(t, sound, 80, settings)
 	closes := func(i int) bool {
 		c := dial(t, b)
 		_, _ = io.WriteString(c, request(fmt.Sprintf("k%d", i), lookup, ""))
--- a/cmd/kiteloft/spoilt_test.go
+++ b/cmd/kiteloft/spoilt_test.go
@@ -83,7 +83,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
-			b, n := alone(t, raw(tt.text), `"conn_idle":30`, `"conn_idle":30`)
+			b, n := single(t, raw(tt.text), 0, settings)
 			for i := range 2 {
 				r := (platformWire{}).ask(t, b, query{class: "once", shards: []int{1}, deadline: 4 * time.Second})
 				if diff := cmp.Diff(values(1), r.values); diff != "" || r.kind != "served" {
@@ -105,7 +105,7 @@
 // new ones to it live: the node is found again by a new one.
 func TestADeadConnectionIsLeft(t *testing.T) {
 	t.Parallel()
-	b, n := alone(t, silent, `"conn_idle":30`, `"conn_idle":30`)
+	b, n := single(t, silent, 0, settings)
 	n.answers(func(p part) reply {
 		if len(n.came) < 2 { // the list is held while it is asked
 			return reply{}
--- a/internal/broker/step.go
+++ b/internal/broker/step.go
@@ -122,21 +122,15 @@
 	switch {
 	case q.over, p.second != q.second, !known, stop <= c.now,
 		c.set.Module.MaxAttempts > 0 && a.n >= c.set.Module.MaxAttempts:
-		a.over, a.neverRan = true, true
-		c.report(a, decide.Moot)
-		return nil
+		return c.moot(a)
 	case c.closed(m.ID):
 		// Guards the rule on drains against the module's own book-keeping.
 		c.log.Guard("drain", q.WireID, "node "+m.ID+" drains for too long")
-		a.over, a.neverRan = true, true
-		c.report(a, decide.Moot)
-		return nil
+		return c.moot(a)
 	case !c.holds(m, p.shard):
 		// Guards the run: a part at a node without its shard voids it.
 		c.log.Guard("holders", q.WireID, "node "+m.ID+" lacks shard "+number(int64(p.shard)))
-		a.over, a.neverRan = true, true
-		c.report(a, decide.Moot)
-		return nil
+		return c.moot(a)
 	}
 	if p.second {
 		a.From, a.Whole = q.from, q.whole
@@ -152,6 +146,13 @@
 	return a
 }
 
+// moot reports an attempt as never sent.
+func (c *Core) moot(a *Attempt) *Attempt {
+	a.over, a.neverRan = true, true
+	c.report(a, decide.Moot)
+	return nil
+}
+
 func (c *Core) holds(m Member, shard int) bool {
 	n := c.set.Module.Cells
 	return n <= 0 || ((m.Cell-shard)%n+n)%n < c.set.Module.Span
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -289,7 +289,7 @@
 func (c *client) respond(status int, kind string, length int, body []byte, after time.Duration, closes bool) {
 	// Guards descriptors, and the connections that clients may hold, against clients
 	// that ask once and keep what they don't use.
-	closes = closes || c.f.closing || c.f.room.Busy() && !c.parser.Started() || c.half && !c.parser.Started()
+	closes = closes || c.f.closing || (c.f.room.Busy() || c.half) && !c.parser.Started()
 	c.write(append(head(status, kind, length, after, closes), body...))
 	c.rest = c.f.core.Now()
 	if closes {
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -78,12 +78,19 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = ln.Close() })
+	peer := connect(t, ln)
+	return <-conns, h, peer
+}
+
+// connect returns the peer's end of a connection to the listener.
+func connect(t *testing.T, ln *Listener) *net.TCPConn {
+	t.Helper()
 	peer, err := net.Dial("tcp", ln.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = peer.Close() })
-	return <-conns, h, peer.(*net.TCPConn)
+	return peer.(*net.TCPConn)
 }
 
 func TestOutcomeOfEveryEnd(t *testing.T) {
@@ -343,17 +350,9 @@
 	}
 	t.Cleanup(func() { _ = ln.Close() })
 	for range 60 {
-		peer, err := net.Dial("tcp", ln.Addr().String())
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { _ = peer.Close() })
-	}
-	peer, err := net.Dial("tcp", ln.Addr().String())
-	if err != nil {
-		t.Fatal(err)
+		connect(t, ln)
 	}
-	t.Cleanup(func() { _ = peer.Close() })
+	peer := connect(t, ln)
 	_, _ = io.WriteString(peer, "hello")
 	wait(t, "the one that speaks is heard", func() bool { var d string; h.with(func() { d = h.data }); return d == "hello" })
 	if open := n.open.Load(); open > n.max {
@@ -370,11 +369,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = ln.Close() })
-	peer, err := net.Dial("tcp", ln.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = peer.Close() })
+	peer := connect(t, ln)
 	_ = peer.SetDeadline(time.Now().Add(10 * time.Second))
 	if _, err := peer.Write(make([]byte, 8<<20)); err != nil {
 		t.Fatal(err)
