--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test race lint run fuzz
+.PHONY: build test race lint run fuzz bench
 
 build:
 	mkdir -p bin && go build -o bin/ ./cmd/...
@@ -24,3 +24,7 @@
 	go test ./internal/frames -fuzz FuzzParser -fuzztime 20s
 	go test ./internal/h2 -fuzz FuzzReceive -fuzztime 20s
 	go test ./internal/columns -fuzz FuzzDecode -fuzztime 20s
+
+# What a query costs in the core and in the platform's front, without sockets.
+bench:
+	go test ./bench -run '^$$' -bench . -benchtime 2s
--- /dev/null
+++ b/bench/core_test.go
@@ -0,0 +1,211 @@
+// Package bench measures what a query costs inside the mixer, without sockets:
+// allocations, bytes and time through module and core, and through the
+// platform's front with its parser besides.
+package bench
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"kiteloft/decide"
+	"kiteloft/internal/broker"
+	"kiteloft/internal/front/platform"
+	"kiteloft/internal/settings"
+	"kiteloft/internal/transport"
+)
+
+// text is the settings object of a fleet like the operators': 12 cells, 24
+// slices, three classes.
+const text = `{"balancers":3,"tick":0.005,"zone":0,"discovery":"ask","failure_domains":["a","b","c"],
+"caps":{"cancel":true,"conn_idle":30,"connect_timeout":0.25,"max_attempts":4,"max_open":2000,"max_retry_after":2,
+ "probes":true,"retry_after":true,"second_copies":true,"streams_per_conn":32},
+"classes":[{"name":"report","semantics":"repeatable","aim":2.5,"deadline":7.5,"worth":3,"late_value":0.1},
+ {"name":"lookup","semantics":"repeatable","aim":1.5,"deadline":4,"worth":1,"late_value":0.1}],
+"family_info":{"per_call":8,"positions":12,"span":2,"ranges":24,"class_floor":[0.8,1],"need_by_class":[1,1],
+ "short_worth":[0.8,0.9],"follow_up":[5,0]},
+"rules":{"ask_within":10,"cold":18,"cold_from":0.32,"drain_grace":2,"fall":1,"fall_multiple":3}}`
+
+const (
+	tick      = 5 * time.Millisecond
+	nodeCount = 12
+)
+
+// shapes are the queries that are measured.
+var shapes = []struct {
+	name  string
+	class int
+	parts int
+}{{"1-part", 1, 1}, {"4-part", 1, 4}, {"report", 0, 6}}
+
+// world stands round a core: nodes that answer all they are sent by the next
+// turn, and a client that takes the answer.
+type world struct {
+	*broker.Core
+	now   time.Duration
+	calls []*broker.Attempt
+	done  int
+	wrong int
+}
+
+func newWorld(tb testing.TB) (*world, settings.Settings) {
+	tb.Helper()
+	set, err := settings.Parse([]byte(text))
+	if err != nil {
+		tb.Fatal(err)
+	}
+	w := &world{now: 24 * time.Hour}
+	w.Core = broker.New(set, decide.New(set.Module, 1), func() time.Duration { return w.now }, w)
+	w.Use(w, w)
+	w.Post(func() {
+		var list []broker.Member
+		for i := range nodeCount {
+			list = append(list, broker.Member{Server: decide.Server{ID: fmt.Sprintf("s-%02d", i), Zone: i % 3, Cell: i}, Addr: "x"})
+		}
+		w.Listed(true, 1, list)
+	})
+	w.Turn()
+	return w, set
+}
+
+func (w *world) Send(_ broker.Node, call []*broker.Attempt)     { w.calls = append(w.calls, call...) }
+func (w *world) GiveUp(*broker.Attempt)                         {}
+func (w *world) Probe(_ broker.Node, done func(decide.Outcome)) { done(decide.OK) }
+func (w *world) CloseIdle(broker.Node)                          {}
+func (w *world) Known([]broker.Node)                            {}
+func (w *world) Watch(bool)                                     {}
+func (w *world) Read()                                          {}
+func (w *world) Module(string)                                  {}
+func (w *world) Guard(_, _, _ string)                           { w.wrong++ }
+func (w *world) Served(bool, []broker.Value)                    { w.done++ }
+func (w *world) Refused(time.Duration)                          { w.wrong++ }
+func (w *world) Failed(bool)                                    { w.wrong++ }
+
+var value = []byte("5be2a07c19f04d63")
+
+// turn moves the clock by a tick, lets the nodes answer, and gives the core a
+// turn.
+func (w *world) turn() {
+	w.now += tick
+	calls := w.calls
+	w.calls = w.calls[:0:0]
+	if len(calls) > 0 {
+		w.Post(func() {
+			for _, a := range calls {
+				w.Ended(a, decide.OK, int64(a.Shard), value)
+			}
+		})
+	}
+	w.Turn()
+}
+
+// until turns until n queries are served.
+func (w *world) until(tb testing.TB, n int) {
+	for range 100 {
+		if w.done >= n {
+			return
+		}
+		w.turn()
+	}
+	tb.Fatalf("%d served, %d in another way; want %d served", w.done, w.wrong, n)
+}
+
+func parts(n int) (list []broker.QueryPart) {
+	for i := range n {
+		list = append(list, broker.QueryPart{Shard: i, Weight: 1 / float64(n), Work: 70 * time.Millisecond})
+	}
+	return list
+}
+
+// BenchmarkCore is a query's way through core and module.
+func BenchmarkCore(b *testing.B) {
+	for _, s := range shapes {
+		b.Run(s.name, func(b *testing.B) {
+			w, set := newWorld(b)
+			list := parts(s.parts)
+			n := 0
+			ask := func() {
+				n++
+				w.Post(func() {
+					if v, _ := w.Take(broker.Query{WireID: fmt.Sprintf("%016x", n), Class: s.class, Left: set.Module.Classes[s.class].Deadline,
+						Text: []byte("c41e77d0"), Parts: list, Answerer: w}); v != broker.Taken {
+						b.Fatalf("verdict %v", v)
+					}
+				})
+				w.until(b, n)
+			}
+			for range 500 {
+				ask()
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				ask()
+			}
+		})
+	}
+}
+
+// client is a connection of the platform's front, and counts responses.
+type client struct{ answers, other int }
+
+func (c *client) Write(b []byte) int64 {
+	if strings.HasPrefix(string(b), "HTTP/1.1 200") {
+		c.answers++
+	} else {
+		c.other++
+	}
+	return 0
+}
+func (c *client) Close(transport.End)  {}
+func (c *client) CloseIfGone()         {}
+func (c *client) Idle() bool           { return true }
+func (c *client) Finish(transport.End) {}
+
+// space has room for all connections.
+type space struct{}
+
+func (space) Crowded() bool { return false }
+func (space) Busy() bool    { return false }
+
+// BenchmarkFront is a query's way from the bytes of its request to those of its
+// response.
+func BenchmarkFront(b *testing.B) {
+	for _, s := range shapes {
+		b.Run(s.name, func(b *testing.B) {
+			w, set := newWorld(b)
+			f := platform.New(w.Core, set.Module.Classes, space{}, zerolog.Nop())
+			c := &client{}
+			h := f.Accept(c)
+			w.Turn()
+			class := set.Module.Classes[s.class]
+			var list []string
+			for _, p := range parts(s.parts) {
+				list = append(list, fmt.Sprintf(`{"slice":%d,"mass":%g,"micros":70000}`, p.Shard, p.Weight))
+			}
+			body := `{"slices":[` + strings.Join(list, ",") + `],"filter":"c41e77d0"}`
+			n := 0
+			ask := func() {
+				n++
+				request := fmt.Sprintf("POST /%s HTTP/1.1\r\nHost: app.svc\r\nReq-Id: %016x\r\nReq-Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n%s",
+					class.Name, n, class.Deadline.Milliseconds(), len(body), body)
+				w.Post(func() { h.Data([]byte(request)) })
+				for range 100 {
+					if w.turn(); c.answers >= n {
+						return
+					}
+				}
+				b.Fatalf("%d answers, %d others", c.answers, c.other)
+			}
+			for range 500 {
+				ask()
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				ask()
+			}
+		})
+	}
+}
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -219,7 +219,7 @@
 		case <-c.mail.ready:
 		case <-timer.C:
 		}
-		c.turn()
+		c.Turn()
 	}
 }
 
@@ -235,8 +235,9 @@
 	return max(0, due-c.clock()), ok
 }
 
-// turn runs what was posted and what is due, then gives the module a step.
-func (c *Core) turn() {
+// Turn runs what was posted and what is due, then gives the module a step. Run
+// calls it; whoever holds the clock itself, as a benchmark does, calls it instead.
+func (c *Core) Turn() {
 	c.now = c.clock()
 	for _, fn := range c.mail.take() {
 		fn()
--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -99,7 +99,7 @@
 // at moves the clock and gives the core a turn.
 func (s *stage) at(d time.Duration) {
 	s.now = time.Hour + d
-	s.turn()
+	s.Turn()
 }
 
 const tick = 5 * time.Millisecond
