Let what was given up hold its stream until the node has read so

Cause, read off a log of every call, answer and give-up: a connection falls silent towards us only. Each part on it is answered by a copy elsewhere within 15 ms and called off, so none is ever out for long: GiveUp set the silence back each time and takes() counted only what is out. Ruled out: calls written after the answer (none by our log), queries read late (lag 0). Change: a part given up holds its place until the node says a word on something sent later (unread), and three in a row without a word are a silence, so the connection is left after 200 ms and closed once quiet. Both tests fail without it: 4 parts on a connection of 2 streams; a dead connection used for 15 s and more.

--- a/cmd/kiteloft/bed_test.go
+++ b/cmd/kiteloft/bed_test.go
@@ -62,6 +62,7 @@
 	from          string
 	whole, second bool
 	at            time.Time
+	link          int // number of the connection it came on; frames only
 }
 
 // reply is what a stock node does with a part.
--- a/cmd/kiteloft/links_test.go
+++ b/cmd/kiteloft/links_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -76,6 +77,54 @@
 	}
 }
 
+// TestWhatWasGivenUpHoldsItsPlace guards against parts that a node leaves unread
+// and reads after their query's final answer. Its streams are held by what it has
+// not said a word of, though all of that was given up long ago.
+func TestWhatWasGivenUpHoldsItsPlace(t *testing.T) {
+	t.Parallel()
+	b, n := alone(t, silent, `"streams_per_conn":32`, `"streams_per_conn":2`)
+	for range 4 {
+		_ = (platformWire{}).ask(t, b, query{class: "lookup", shards: []int{1}, deadline: 120 * time.Millisecond})
+	}
+	on := map[int]int{}
+	for _, p := range n.parts() {
+		on[p.link]++
+	}
+	for link, parts := range on {
+		if parts > 2 {
+			t.Errorf("%d parts on connection %d, of which the node has answered none: it reads 2", parts, link)
+		}
+	}
+	if len(on) < 2 {
+		t.Errorf("%d connections for %d parts: too few to show anything", len(on), len(n.parts()))
+	}
+}
+
+// TestASilentConnectionIsLeft has every part on it answered by a copy elsewhere, so
+// that none is out for long: it is silent all the same.
+func TestASilentConnectionIsLeft(t *testing.T) {
+	t.Parallel()
+	var came atomic.Int32
+	dead := func(p part) reply { // the first connection to a node dies once copies come early
+		if p.node == "s-0" && p.link == 1 && came.Add(1) > 40 {
+			return reply{}
+		}
+		return sound(p)
+	}
+	b := start(t, platformWire{}, dead)
+	b.wait(t, "the node is asked on another connection", func() bool {
+		if r := (platformWire{}).ask(t, b, query{class: "lookup", shards: []int{1}, deadline: 4 * time.Second}); r.kind != "served" {
+			t.Fatalf("client got %+v", r)
+		}
+		for _, p := range b.nodes[0].parts() {
+			if p.link > 1 {
+				return true
+			}
+		}
+		return false
+	})
+}
+
 // TestDiscoveryIsFollowed looks at the pace of watches, and at what a failure
 // costs.
 func TestDiscoveryIsFollowed(t *testing.T) {
--- a/cmd/kiteloft/protocols_test.go
+++ b/cmd/kiteloft/protocols_test.go
@@ -53,8 +53,9 @@
 			}
 			t.Cleanup(func() { _ = c.Close() })
 			n.connection(&n.came)
+			link, _ := n.connections()
 			go func() {
-				frameNode(c, n)
+				frameNode(c, n, link)
 				n.connection(&n.went)
 			}()
 		}
@@ -62,7 +63,7 @@
 	return ln.Addr().String()
 }
 
-func frameNode(c net.Conn, n *standIn) {
+func frameNode(c net.Conn, n *standIn, link int) {
 	var mu sync.Mutex
 	send := func(letter byte, rest string) {
 		mu.Lock()
@@ -87,7 +88,7 @@
 			line, more, _ := strings.Cut(rest, "\n")
 			w := strings.Split(line, " ")
 			size, _ := strconv.Atoi(w[3])
-			p := part{id: w[0], text: more[:size], second: strings.HasSuffix(w[0], ".phase2")}
+			p := part{link: link, id: w[0], text: more[:size], second: strings.HasSuffix(w[0], ".phase2")}
 			p.shard, _ = strconv.Atoi(w[1])
 			rest = more[size:]
 			for _, item := range strings.Split(w[2], ",") {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -32,6 +32,7 @@
 	sweepPace    = 250 * time.Millisecond
 	goneMemory   = 10 * time.Second       // how long the result of a part given up, or a second copy, may still come
 	silentTime   = 200 * time.Millisecond // after so long without a word, what waits shows that a connection may be dead
+	mostUnheard  = 3                      // parts called off in a row, without a word, that count as a silence
 	mostSilent   = 3                      // silent connections to a node beyond which no other is opened for that
 	stallTime    = 100 * time.Millisecond // how long a message that has begun may stand still
 	probeTimeout = 500 * time.Millisecond
@@ -96,6 +97,7 @@
 	out     map[string]*Ticket       // by wire id
 	gone    map[string]time.Duration // ids given up, and when: their result may still come
 	done    map[string]time.Duration // ids answered, and when
+	unread  unread                   // parts given up that the node may not have read of
 	retired bool                     // the node said more than it was asked: nothing new goes here
 	partial bool                     // a message has begun, and a look at it is due
 	heard   time.Duration            // when bytes last came
@@ -109,6 +111,7 @@
 	done func(decide.Outcome)
 	told bool
 	at   time.Duration
+	seq  int64
 }
 
 func (p *probe) end(o decide.Outcome) {
@@ -125,6 +128,7 @@
 	User any    // the session's own
 	link *Link
 	sent bool // the session has it
+	seq  int64
 }
 
 // New returns Links without connections. Protocols are found by the scheme of a
@@ -268,7 +272,10 @@
 func (l *Link) takes(call []*broker.Attempt) bool {
 	room := math.MaxInt
 	if l.ls.lim.StreamsPerConn > 0 {
-		room = l.ls.lim.StreamsPerConn - len(l.out)
+		// What was given up holds its place for as long as the node may not have read so.
+		// Beyond the limit a node leaves parts unread, and reads them once it goes on:
+		// after their query's final answer.
+		room = l.ls.lim.StreamsPerConn - len(l.out) - l.unread.len()
 	}
 	if l.session != nil {
 		room = min(room, l.session.Room())
@@ -327,9 +334,8 @@
 		}))
 	}
 	l.waiting = nil
-	for range l.probes {
-		l.asks()
-		l.session.Probe()
+	for _, p := range l.probes {
+		l.ask(p)
 	}
 }
 
@@ -338,7 +344,7 @@
 		return
 	}
 	for _, t := range batch {
-		t.sent = true
+		t.sent, t.seq = true, l.unread.next()
 	}
 	l.used = l.ls.core.Now()
 	l.asks()
@@ -354,10 +360,13 @@
 	delete(t.link.out, t.ID)
 	if t.sent {
 		t.link.gone[t.ID] = ls.core.Now()
+		t.link.unread.gaveUp(t.ID)
 		t.link.session.GiveUp(t)
 	}
-	// A node that stops its work says nothing more: that is no silence.
-	if l := t.link; l.quiet() && !l.silent() {
+	// A node that stops its work says nothing more: that is no silence. Several parts
+	// in a row that were called off without a word are one: each was answered by a copy
+	// elsewhere, and the connection may have been dead for all of them.
+	if l := t.link; l.quiet() && !l.silent() && l.unread.len() < mostUnheard {
 		l.waits = 0
 	}
 }
@@ -402,11 +411,17 @@
 		}
 	})
 	if l.session != nil {
-		l.asks()
-		l.session.Probe()
+		l.ask(pr)
 	}
 }
 
+// ask sends a probe.
+func (l *Link) ask(p *probe) {
+	p.seq = l.unread.next()
+	l.asks()
+	l.session.Probe()
+}
+
 // ---- for sessions ----
 
 // Write sends bytes; it returns the offset of the last one.
@@ -425,6 +440,7 @@
 	}
 	if _, ok := l.gone[id]; ok {
 		delete(l.gone, id)
+		l.unread.answered(id)
 		return nil, nil
 	}
 	if _, ok := l.done[id]; ok {
@@ -439,6 +455,7 @@
 	if l.out[t.ID] == t {
 		delete(l.out, t.ID)
 		l.done[t.ID] = l.ls.core.Now()
+		l.unread.read(t.seq)
 		l.ls.core.Ended(t.Attempt, o, score, value)
 	}
 }
@@ -448,6 +465,7 @@
 	if len(l.probes) > 0 {
 		p := l.probes[0]
 		l.probes = l.probes[1:]
+		l.unread.read(p.seq)
 		p.end(o)
 	}
 }
