Try idle servers that look too slow, so that refusals do not hold themselves up

Cause: after a spoilt connection both holders of slice 15 had a mean of 0.68 and 0.75 s from attempts given up, nothing out, and an expected delay over every query's limit. inTime refused all that touched them, so no answer could show that they were quick; only the fading by 10 s let them back. Change: an idle server due for trial counts as within reach while answers of all servers together would be in time.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -865,8 +865,11 @@
 	reach := 0.0
 	for _, p := range q.parts {
 		s := m.route(p, q.offset)
-		if s != nil && (m.delay(s) <= limit || m.suspect(s) && m.now >= s.trialAt) {
-			reach += p.Weight // a suspect due for trial counts: no lone signal condemns its shards
+		// A suspect due for trial counts: no lone signal condemns its shards. So does an idle one that has
+		// been slow while others are not: nothing would show that it no longer is.
+		if s != nil && (m.delay(s) <= limit ||
+			m.now >= s.trialAt && (m.suspect(s) || s.out == 0 && m.latency() <= limit)) {
+			reach += p.Weight
 		}
 	}
 	return reach >= q.class.Floor-weightSlack
--- a/decide/symptom_test.go
+++ b/decide/symptom_test.go
@@ -847,3 +847,34 @@
 		t.Errorf("servers, order, queries, ids, live, parts, out: %s; %d taken, %d holders", diff, len(m.taken), len(m.holders))
 	}
 }
+
+// TestIdleServersThatLookTooSlowAreTried guards against a wave of refusals that
+// holds itself up: once all holders of a shard look too slow, nothing is sent to
+// them, so nothing shows that they are quick again.
+func TestIdleServersThatLookTooSlowAreTried(t *testing.T) {
+	r := newRig(t, testSettings(), "a", "b")
+	r.warm(40, 20*ms)
+	for _, s := range r.m.servers { // a stall that is over: the answers that came of it were late
+		s.latency, s.depth, s.learnedAt = 2, 1, r.now
+	}
+	refused := 0
+	for range 40 {
+		q, parts := r.query(0, 1)
+		if len(r.sent[parts[0]]) == 0 {
+			refused++
+			if _, ok := has[Refuse](r.actions); !ok {
+				t.Fatalf("%s was neither sent nor refused", q)
+			}
+		} else {
+			r.now += 20 * ms
+			r.done(parts[0], 0, OK, 20*ms)
+		}
+		r.pass(100 * ms)
+	}
+	if refused > 25 {
+		t.Errorf("%d of 40 queries refused over 4 s by servers that answer within 20 ms", refused)
+	}
+	if refused == 0 {
+		t.Error("none refused: the servers never looked slow, so this shows nothing")
+	}
+}
