Have the module say why it sends, ends and holds back

Traces need the cause of each attempt and of each end, and only the module knows it: Send has a Choice, Refuse and Fail have a Cause, and Remark tells, where Settings.Remarks asks for it and once a part and kind, that a token, the budget or a cold node's share ran out.

--- a/decide/api.go
+++ b/decide/api.go
@@ -78,6 +78,8 @@
 
 	WorthByWork    bool    // worth counts in proportion to work
 	OverShareWorth float64 // worth factor above a tenant's share
+
+	Remarks bool // the caller wants Remark actions
 }
 
 // ServerState is what the server list says of a server.
@@ -211,12 +213,55 @@
 // Action is something that the caller carries out.
 type Action interface{ action() }
 
+// Choice is why a part goes to a server.
+type Choice uint8
+
+// The choices.
+const (
+	ByOffset  Choice = iota // it stands at the query's offset
+	LeftSlow                // the one at the offset may not be used, or would be too late
+	NextBest                // an earlier attempt has ended, and it is the best that is left
+	LateCopy                // the part is late where it is
+	Stranded                // no attempt of the part is likely to be answered in time
+)
+
+// Cause is why a query ends without an answer.
+type Cause uint8
+
+// The causes.
+const (
+	NoCause  Cause = iota
+	NoHope         // it can't be in time, and nothing of it was begun
+	TimeUp         // its time is up
+	PartLost       // a part that it needs can't be had any more
+	Unseen         // half of its time is over and no server has seen it
+	NoClass        // it has a class without figures, or an id that is open
+)
+
+// Shortage is what kept the module from sending a part.
+type Shortage uint8
+
+// The shortages.
+const (
+	TokenShort  Shortage = iota // a late part was not copied: no token
+	BudgetShort                 // a further attempt was not made: the rule's budget is spent
+	ColdShort                   // every holder that could take it is cold and has had its share
+)
+
 // Send starts an attempt for a part. Sends of one Step to one server share
 // calls of up to PartsPerCall parts.
 type Send struct {
 	Part   string
 	Server string
 	StopAt time.Duration // clock time at which the attempt is given up
+	Why    Choice
+}
+
+// Remark says what a part lacked, once for each kind. It comes only where the
+// Settings ask for Remarks.
+type Remark struct {
+	Part string
+	What Shortage
 }
 
 // Cancel stops waiting for an attempt.
@@ -235,10 +280,14 @@
 type Refuse struct {
 	Query      string
 	RetryAfter time.Duration // 0: no advice
+	Why        Cause
 }
 
 // Fail ends the query and promises nothing about its effect.
-type Fail struct{ Query string }
+type Fail struct {
+	Query string
+	Why   Cause
+}
 
 // Wake asks for a Woken event.
 type Wake struct {
@@ -279,3 +328,4 @@
 func (CloseIdle) action() {}
 func (Tell) action()      {}
 func (Log) action()       {}
+func (Remark) action()    {}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -377,13 +377,21 @@
 	if stranded {
 		share = 1
 	} else if m.tokens < 1 {
+		m.remark(p, TokenShort)
 		return
 	}
-	s := m.bestHolder(p)
-	if s == nil || m.suspect(s) || m.delay(s) > (m.now-p.live().sent).Seconds() || !m.budget(share) {
+	s, why := m.bestHolder(p), LateCopy
+	if s == nil || m.suspect(s) || m.delay(s) > (m.now-p.live().sent).Seconds() {
 		return
 	}
-	if !m.place(p, s) {
+	if stranded {
+		why = Stranded
+	}
+	if !m.budget(share) {
+		m.remark(p, BudgetShort)
+		return
+	}
+	if !m.place(p, s, why) {
 		return
 	}
 	if stranded {
@@ -626,7 +634,7 @@
 func (m *Module) repeatable(p *part) bool { return p.q.class.Semantics != Once }
 
 // place is the gate through which every send goes.
-func (m *Module) place(p *part, s *server) bool {
+func (m *Module) place(p *part, s *server, why Choice) bool {
 	if !m.mayTry(p) || !m.allowed(p, s) || (len(p.attempts) > 0 && !m.budget(1)) {
 		return false
 	}
@@ -650,7 +658,7 @@
 	if a.n == 0 {
 		m.partRate.add(m.now, 1)
 	}
-	m.act(Send{Part: p.ID, Server: s.ID, StopAt: stop})
+	m.act(Send{Part: p.ID, Server: s.ID, StopAt: stop, Why: why})
 	return true
 }
 
@@ -771,7 +779,7 @@
 func (m *Module) takeQuery(e QueryArrived) {
 	m.countTaken()
 	if m.queries[e.Number] != nil || m.ids[e.ID] != nil || e.Class >= len(m.set.Classes) || e.Class < 0 {
-		m.act(Fail{Query: e.ID}) // a class without figures: still one final answer
+		m.act(Fail{Query: e.ID, Why: NoClass}) // a class without figures: still one final answer
 		return
 	}
 	c := &m.set.Classes[e.Class]
@@ -820,7 +828,7 @@
 		q.offset = m.chooseOffset(q.parts)
 		q.begun = true
 		if !q.second && !m.inTime(q) {
-			m.end(q)
+			m.end(q, NoHope)
 			continue
 		}
 		for _, p := range q.parts {
@@ -877,11 +885,16 @@
 
 // try sends a part's first or next attempt: by the offset rule at first, then to the best other holder.
 func (m *Module) try(p *part) {
-	s := m.route(p, p.q.offset)
+	s, why := m.route(p, p.q.offset), ByOffset
 	if len(p.attempts) > 0 {
-		s = m.bestHolder(p)
+		s, why = m.bestHolder(p), NextBest
+	} else if hs := m.holdersOf(p.Shard); len(hs) > 0 && s != hs[p.q.offset%len(hs)] {
+		why = LeftSlow
 	}
-	if s == nil || !m.place(p, s) {
+	if s == nil || !m.place(p, s, why) {
+		if m.set.Remarks && s == nil && m.coldOnly(p) {
+			m.remark(p, ColdShort)
+		}
 		p.tryAt = m.now + m.trialPause()/8
 	}
 }
@@ -915,7 +928,7 @@
 func (m *Module) settle(q *query) {
 	if q.over || !q.begun {
 		if !q.over && m.now >= m.lastCall(q) {
-			m.end(q)
+			m.end(q, TimeUp)
 		}
 		return
 	}
@@ -927,10 +940,15 @@
 	case short && m.now >= m.shortCall(q) && q.class.ShortWorth*weight >= q.class.LateValue*q.class.Need:
 		m.answer(q, false)
 	case m.now >= m.lastCall(q) || m.hopeless(q) || m.now >= m.halfCall(q) && q.untouched():
-		if short {
+		switch {
+		case short:
 			m.answer(q, false)
-		} else {
-			m.end(q)
+		case m.now >= m.lastCall(q):
+			m.end(q, TimeUp)
+		case m.hopeless(q):
+			m.end(q, PartLost)
+		default:
+			m.end(q, Unseen)
 		}
 	default:
 		for _, p := range q.parts {
@@ -970,13 +988,13 @@
 }
 
 // end refuses where that is honest, else fails. A refusal promises that nothing ran which may not run twice.
-func (m *Module) end(q *query) {
+func (m *Module) end(q *query, why Cause) {
 	if q.second || (q.class.Semantics != Repeatable && slices.ContainsFunc(q.parts, func(p *part) bool {
 		return p.mayHaveRun() != nil
 	})) {
-		m.act(Fail{Query: q.ID})
+		m.act(Fail{Query: q.ID, Why: why})
 	} else {
-		m.act(Refuse{Query: q.ID, RetryAfter: m.stayAway(q)})
+		m.act(Refuse{Query: q.ID, RetryAfter: m.stayAway(q), Why: why})
 	}
 	m.close(q)
 }
--- a/decide/state.go
+++ b/decide/state.go
@@ -99,6 +99,7 @@
 	copied   bool
 	shed     bool // its step or query is over
 	tryAt    time.Duration
+	remarked [3]bool // by Shortage
 }
 
 type attempt struct {
@@ -353,6 +354,28 @@
 // note writes a rare line for those on call.
 func (m *Module) note(format string, args ...any) { m.act(Log{Line: fmt.Sprintf(format, args...)}) }
 
+// remark tells, once a part and kind, what kept it from being sent.
+func (m *Module) remark(p *part, what Shortage) {
+	if m.set.Remarks && !p.remarked[what] {
+		p.remarked[what] = true
+		m.act(Remark{Part: p.ID, What: what})
+	}
+}
+
+// coldOnly tells whether cold servers without room are all that keep a part.
+func (m *Module) coldOnly(p *part) bool {
+	cold := false
+	for _, s := range m.holdersOf(p.Shard) {
+		if s.State == Running && !s.barred {
+			if m.coldRoom(s) {
+				return false
+			}
+			cold = true
+		}
+	}
+	return cold
+}
+
 // insert keeps order sorted by id.
 func (m *Module) insert(entry Server) *server {
 	s := &server{Server: entry}
--- /dev/null
+++ b/internal/tracing/context.go
@@ -0,0 +1,138 @@
+package tracing
+
+import (
+	"encoding/hex"
+	"strings"
+)
+
+const (
+	maxState   = 512 // bytes of tracestate that are kept, as W3C asks for at least
+	maxMembers = 32  // members of a tracestate
+	sampled    = 1
+	randomFlag = 2
+)
+
+// Context is what a client says of the trace that its query belongs to. The zero
+// value says nothing.
+type Context struct {
+	Trace  TraceID
+	Parent SpanID
+	Flags  byte
+	State  string // tracestate, as it came
+}
+
+// IsZero reports whether the client named no trace.
+func (c Context) IsZero() bool { return c.Trace.IsZero() }
+
+// ParseContext reads the headers traceparent and tracestate by W3C's rules: a
+// malformed traceparent is as good as none, and a malformed tracestate is dropped
+// alone.
+func ParseContext(parent, state string) Context {
+	c, ok := parseParent(strings.Trim(parent, " \t"))
+	if !ok {
+		return Context{}
+	}
+	c.State = parseState(state)
+	return c
+}
+
+func parseParent(s string) (c Context, ok bool) {
+	const whole = 2 + 1 + 32 + 1 + 16 + 1 + 2
+	if len(s) < whole || s[2] != '-' || s[35] != '-' || s[52] != '-' {
+		return c, false
+	}
+	var version, flags [1]byte
+	if !lowerHex(version[:], s[:2]) || !lowerHex(c.Trace[:], s[3:35]) || !lowerHex(c.Parent[:], s[36:52]) ||
+		!lowerHex(flags[:], s[53:55]) {
+		return c, false
+	}
+	switch {
+	case version[0] == 0xff, c.Trace.IsZero(), c.Parent.IsZero():
+		return c, false
+	case version[0] == 0 && len(s) != whole:
+		return c, false
+	case len(s) > whole && s[whole] != '-': // a later version may go on, after a dash
+		return c, false
+	}
+	c.Flags = flags[0] & (sampled | randomFlag)
+	return c, true
+}
+
+// lowerHex decodes hex in lower case only, as W3C wants it.
+func lowerHex(dst []byte, s string) bool {
+	for i := range len(s) {
+		if s[i] >= 'A' && s[i] <= 'F' {
+			return false
+		}
+	}
+	n, err := hex.Decode(dst, []byte(s))
+	return err == nil && n == len(dst)
+}
+
+// parseState keeps a tracestate whose members have the right form; a list that is
+// too long loses its last members.
+func parseState(s string) string {
+	if s == "" {
+		return ""
+	}
+	seen := map[string]bool{}
+	var keep []string
+	length := 0
+	for m := range strings.SplitSeq(s, ",") {
+		m = strings.Trim(m, " \t")
+		if m == "" {
+			continue
+		}
+		key, value, ok := strings.Cut(m, "=")
+		if !ok || !stateKey(key) || !stateValue(value) || seen[key] {
+			return ""
+		}
+		seen[key] = true
+		if length += len(m) + 1; len(keep) == maxMembers || length > maxState+1 {
+			break
+		}
+		keep = append(keep, m)
+	}
+	return strings.Join(keep, ",")
+}
+
+func stateKey(s string) bool {
+	if s == "" || len(s) > 256 {
+		return false
+	}
+	tenants := 0
+	for i := range len(s) {
+		switch c := s[i]; {
+		case c >= 'a' && c <= 'z', c >= '0' && c <= '9':
+		case i > 0 && (c == '_' || c == '-' || c == '*' || c == '/'):
+		case i > 0 && c == '@' && tenants == 0 && i < len(s)-1:
+			tenants++
+		default:
+			return false
+		}
+	}
+	return true
+}
+
+func stateValue(s string) bool {
+	if s == "" || len(s) > 256 || s[len(s)-1] == ' ' {
+		return false
+	}
+	for i := range len(s) {
+		if c := s[i]; c < 0x20 || c > 0x7e || c == ',' || c == '=' {
+			return false
+		}
+	}
+	return true
+}
+
+// Traceparent is the header that names a span as the parent of what follows.
+func Traceparent(t TraceID, span SpanID, flags byte) string {
+	b := make([]byte, 0, 55)
+	b = append(b, "00-"...)
+	b = hex.AppendEncode(b, t[:])
+	b = append(b, '-')
+	b = hex.AppendEncode(b, span[:])
+	b = append(b, '-')
+	return string(hex.AppendEncode(b, []byte{flags}))
+}
--- /dev/null
+++ b/internal/tracing/hold.go
@@ -0,0 +1,211 @@
+package tracing
+
+// fifo is a queue of queries.
+type fifo struct {
+	list []*Query
+	head int
+}
+
+func (f *fifo) push(q *Query) { f.list = append(f.list, q) }
+func (f *fifo) len() int      { return len(f.list) - f.head }
+
+func (f *fifo) peek() *Query {
+	if f.len() == 0 {
+		return nil
+	}
+	return f.list[f.head]
+}
+
+func (f *fifo) pop() *Query {
+	q := f.list[f.head]
+	f.list[f.head] = nil
+	if f.head++; f.head == len(f.list) {
+		f.list, f.head = f.list[:0], 0
+	} else if f.head > 256 && f.head > len(f.list)/2 {
+		n := copy(f.list, f.list[f.head:])
+		clear(f.list[n:])
+		f.list, f.head = f.list[:n], 0
+	}
+	return q
+}
+
+// store holds kept traces until they are taken. What can't be held degrades in the
+// order of its levels; each goes over the traces once, oldest first, so that the
+// work for a trace is bounded.
+type store struct {
+	fifo
+	next [levels]int // by level: how many from the head have been through it
+}
+
+// The levels, in the order in which they are gone through.
+const (
+	dropBoring   = iota // parts that their first attempt answered, off the critical path
+	dropChance          // traces that only chance kept
+	dropChildren        // all but roots
+	dropRoots           // the oldest traces altogether
+	levels
+)
+
+func (s *store) pop() *Query {
+	q := s.fifo.pop()
+	for i := range s.next {
+		s.next[i] = max(0, s.next[i]-1)
+	}
+	return q
+}
+
+// full makes room and tells whether there is none.
+func (r *Recorder) full() bool {
+	if r.bytes <= r.cfg.Memory {
+		return false
+	}
+	r.fit()
+	return r.bytes > r.cfg.Memory
+}
+
+// fit brings what is held within the memory, in this order: what waits is decided
+// early; then the kept ones degrade, level by level. Open queries stay.
+func (r *Recorder) fit() {
+	for r.bytes > r.cfg.Memory && r.waiting.len() > 0 {
+		r.settleEarly(r.waiting.pop())
+	}
+	for level := range levels {
+		for r.bytes > r.cfg.Memory && r.degrade(level) {
+		}
+	}
+}
+
+// settleEarly decides on a query before its time without making room again.
+func (r *Recorder) settleEarly(q *Query) {
+	if q.Keep == 0 && !r.chosen(q) {
+		r.stats.Passed++
+		r.release(q)
+		return
+	}
+	if q.Keep == 0 {
+		q.Shift = r.classes[q.Class].shift
+		r.stats.Chance++
+	} else {
+		r.stats.Always++
+	}
+	r.unindex(q)
+	q.where = isKept
+	r.kept.push(q)
+}
+
+// degrade takes the next kept trace through a level; false: none is left for it.
+func (r *Recorder) degrade(level int) bool {
+	s := &r.kept
+	if level == dropRoots {
+		if s.len() == 0 {
+			return false
+		}
+		r.lose(s.pop())
+		return true
+	}
+	for s.next[level] < s.len() {
+		at := s.head + s.next[level]
+		q := s.list[at]
+		s.next[level]++
+		switch {
+		case level == dropBoring:
+			r.thinOut(q, q.boringParts())
+		case level == dropChance && q.Keep == 0:
+			r.removeAt(at)
+			r.lose(q)
+		case level == dropChildren:
+			r.thinOut(q, nil)
+		default:
+			continue
+		}
+		return true
+	}
+	return false
+}
+
+// removeAt takes a trace out of the middle of the store.
+func (r *Recorder) removeAt(at int) {
+	s := &r.kept
+	copy(s.list[at:], s.list[at+1:])
+	s.list[len(s.list)-1] = nil
+	s.list = s.list[:len(s.list)-1]
+	for i := range s.next {
+		if s.next[i] > at-s.head {
+			s.next[i]--
+		}
+	}
+	if s.len() == 0 {
+		s.list, s.head = s.list[:0], 0
+	}
+}
+
+// lose counts a trace that can't be held.
+func (r *Recorder) lose(q *Query) {
+	l := &r.lost[q.Class]
+	if q.Keep != 0 {
+		l.Always++
+	} else {
+		l.Chance++
+	}
+	r.release(q)
+}
+
+// boringParts tells which parts may go first: those that their first attempt
+// answered and that nothing waited for.
+func (q *Query) boringParts() []bool {
+	drop := make([]bool, len(q.Parts))
+	for i := range q.Parts {
+		drop[i] = q.boring(int32(i))
+	}
+	for _, s := range Critical(q) {
+		if s.Part >= 0 {
+			drop[s.Part] = false
+		}
+	}
+	return drop
+}
+
+// thinOut drops parts with their attempts, or all children and events with a nil
+// list, and keeps count of them on the root.
+func (r *Recorder) thinOut(q *Query, drop []bool) {
+	if drop == nil {
+		q.Dropped.Parts += len(q.Parts)
+		q.Dropped.Attempts += len(q.Attempts)
+		q.Dropped.Events += len(q.Events)
+		q.Parts, q.Attempts, q.Events = nil, nil, nil
+	} else {
+		at := make([]int32, len(q.Parts))
+		var parts []Part
+		for i, p := range q.Parts {
+			if at[i] = -1; !drop[i] {
+				at[i] = int32(len(parts))
+				parts = append(parts, p)
+			}
+		}
+		var attempts []Attempt
+		for _, a := range q.Attempts {
+			if a.Part = at[a.Part]; a.Part >= 0 {
+				attempts = append(attempts, a)
+			}
+		}
+		var events []Event
+		for _, e := range q.Events {
+			if e.Part >= 0 {
+				if e.Part = at[e.Part]; e.Part < 0 {
+					continue
+				}
+			}
+			events = append(events, e)
+		}
+		q.Dropped.Parts += len(q.Parts) - len(parts)
+		q.Dropped.Attempts += len(q.Attempts) - len(attempts)
+		q.Dropped.Events += len(q.Events) - len(events)
+		q.Parts, q.Attempts, q.Events = parts, attempts, events
+	}
+	size := querySize + len(q.WireID) + len(q.State) + partSize*len(q.Parts) + attemptSize*len(q.Attempts)
+	for _, e := range q.Events {
+		size += eventSize + len(e.Text)
+	}
+	r.bytes += size - q.size
+	q.size = size
+}
