--- a/bench/core_test.go
+++ b/bench/core_test.go
@@ -15,6 +15,7 @@
 	"kiteloft/internal/broker"
 	"kiteloft/internal/front/platform"
 	"kiteloft/internal/settings"
+	"kiteloft/internal/tracing"
 	"kiteloft/internal/transport"
 )
 
@@ -71,6 +72,22 @@
 	return w, set
 }
 
+// record has the core's traces recorded, and taken as an exporter takes them.
+func (w *world) record(set settings.Settings) {
+	cfg := tracing.Config{Memory: 4 << 20, Spans: 200, Seed: 1}
+	for _, c := range set.Module.Classes {
+		cfg.Classes = append(cfg.Classes, tracing.Class{Name: c.Name, Aim: c.Aim, Deadline: c.Deadline})
+	}
+	r := tracing.New(cfg)
+	w.Record(r)
+	var take func()
+	take = func() {
+		r.Take(w.Now(), 1000)
+		w.After(200*time.Millisecond, take)
+	}
+	w.Post(take)
+}
+
 func (w *world) Send(_ broker.Node, call []*broker.Attempt)     { w.calls = append(w.calls, call...) }
 func (w *world) GiveUp(*broker.Attempt)                         {}
 func (w *world) Probe(_ broker.Node, done func(decide.Outcome)) { done(decide.OK) }
@@ -79,7 +96,7 @@
 func (w *world) Watch(bool)                                     {}
 func (w *world) Read()                                          {}
 func (w *world) Module(string)                                  {}
-func (w *world) Guard(_, _, _ string)                           { w.wrong++ }
+func (w *world) Guard(_, _, _, _ string)                        { w.wrong++ }
 func (w *world) Served(bool, []broker.Value)                    { w.done++ }
 func (w *world) Refused(time.Duration)                          { w.wrong++ }
 func (w *world) Failed(bool)                                    { w.wrong++ }
@@ -121,10 +138,18 @@
 }
 
 // BenchmarkCore is a query's way through core and module.
-func BenchmarkCore(b *testing.B) {
+func BenchmarkCore(b *testing.B) { core(b, false) }
+
+// BenchmarkCoreTraced is the same while traces are recorded.
+func BenchmarkCoreTraced(b *testing.B) { core(b, true) }
+
+func core(b *testing.B, traced bool) {
 	for _, s := range shapes {
 		b.Run(s.name, func(b *testing.B) {
 			w, set := newWorld(b)
+			if traced {
+				w.record(set)
+			}
 			list := parts(s.parts)
 			n := 0
 			ask := func() {
@@ -172,10 +197,18 @@
 
 // BenchmarkFront is a query's way from the bytes of its request to those of its
 // response.
-func BenchmarkFront(b *testing.B) {
+func BenchmarkFront(b *testing.B) { fronts(b, false) }
+
+// BenchmarkFrontTraced is the same while traces are recorded.
+func BenchmarkFrontTraced(b *testing.B) { fronts(b, true) }
+
+func fronts(b *testing.B, traced bool) {
 	for _, s := range shapes {
 		b.Run(s.name, func(b *testing.B) {
 			w, set := newWorld(b)
+			if traced {
+				w.record(set)
+			}
 			f := platform.New(w.Core, set.Module.Classes, space{}, zerolog.Nop())
 			c := &client{}
 			h := f.Accept(c)
--- a/cmd/kiteloft/ending.go
+++ b/cmd/kiteloft/ending.go
@@ -43,6 +43,7 @@
 	columns   *flight.Front // nil: none
 	listeners []*transport.Listener
 	flows     *ipfix.Exporter // nil: none
+	traces    *traces         // nil: none
 	log       zerolog.Logger
 	stop      chan struct{} // closed at the very end
 	kill      time.Duration // when the platform may kill us
@@ -89,7 +90,12 @@
 				if e.flows != nil {
 					e.flows.Flush()
 				}
-				e.core.After(lastWrites, func() { close(e.stop) })
+				last := func() { e.core.After(lastWrites, func() { close(e.stop) }) }
+				if e.traces == nil {
+					last()
+					return
+				}
+				e.traces.finish(e.kill-lastBefore/2, last)
 			})
 		})
 	})
--- a/cmd/kiteloft/main.go
+++ b/cmd/kiteloft/main.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"github.com/alecthomas/kong"
 	"github.com/rs/zerolog"
 	"github.com/rs/zerolog/diode"
 
@@ -37,11 +38,57 @@
 	memoryShare  = 0.7  // share of the memory limit at which the collector works harder
 )
 
+// flags are the command line's. Without any, the mixer serves as the environment
+// and the files say.
+type flags struct {
+	Config  string           `help:"The configuration file, in place of the one that LB_CONFIG names." placeholder:"FILE"`
+	Check   bool             `help:"Read and check the configuration, and end: with 0 if it is sound, else with 2."`
+	Version kong.VersionFlag `help:"Print the version and end."`
+}
+
 func main() {
-	os.Exit(run())
+	var f flags
+	kong.Parse(&f, kong.Name("kiteloft"), kong.Vars{"version": version()},
+		kong.Description("The mixer: a broker between the services that ask for stock and the stock nodes."))
+	os.Exit(run(f))
+}
+
+// version is the revision that the program was built from.
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	rev, dirty := "unknown", ""
+	for _, s := range info.Settings {
+		switch {
+		case s.Key == "vcs.revision":
+			rev = s.Value[:min(12, len(s.Value))]
+		case s.Key == "vcs.modified" && s.Value == "true":
+			dirty = "+"
+		}
+	}
+	return rev + dirty
 }
 
-func run() int {
+func run(f flags) int {
+	getenv := os.Getenv
+	if f.Config != "" {
+		getenv = func(key string) string {
+			if key == "LB_CONFIG" {
+				return f.Config
+			}
+			return os.Getenv(key)
+		}
+	}
+	if f.Check {
+		if _, err := config.Load(getenv, brokerFile); err != nil {
+			fmt.Fprintln(os.Stderr, "configuration is faulty:", err)
+			return 2
+		}
+		fmt.Println("configuration is sound")
+		return 0
+	}
 	// Guards the loop against whoever reads our log and stops: lines are dropped,
 	// and counted, rather than waited for.
 	out := diode.NewWriter(os.Stderr, logLines, 0, func(missed int) {
@@ -50,14 +97,14 @@
 	defer func() { _ = out.Close() }() // nobody is left to tell
 	log := zerolog.New(out).With().Timestamp().Logger()
 	sig := notify()
-	cfg, err := config.Load(os.Getenv, brokerFile)
+	cfg, err := config.Load(getenv, brokerFile)
 	if err != nil {
 		log.Error().Err(err).Msg("configuration is faulty")
 		return 2
 	}
 	log = log.With().Str("mixer", cfg.Name).Logger()
 	transport.LogTo(log.With().Str("from", "netpoll").Logger())
-	if err := serve(cfg, sig, log); err != nil {
+	if err := serve(cfg, getenv, sig, log); err != nil {
 		log.Error().Err(err).Msg("mixer failed")
 		return 1
 	}
@@ -69,8 +116,12 @@
 
 func (l coreLog) Module(line string) { l.Info().Str("line", line).Msg("module") }
 
-func (l coreLog) Guard(rule, id, about string) {
-	l.Warn().Str("rule", rule).Str("id", id).Str("about", about).Msg("a guard of the core stepped in")
+func (l coreLog) Guard(rule, id, trace, about string) {
+	line := l.Warn().Str("rule", rule).Str("id", id)
+	if trace != "" {
+		line = line.Str("trace", trace)
+	}
+	line.Str("about", about).Msg("a guard of the core stepped in")
 }
 
 // signals are what the platform may send. A hang-up must not wait behind an end,
@@ -85,8 +136,8 @@
 }
 
 // reload reads the configuration again and returns the one that holds from now.
-func reload(old config.Config, move func(addr string), log zerolog.Logger) config.Config {
-	cfg, err := config.Reload(os.Getenv, brokerFile)
+func reload(old config.Config, getenv func(string) string, move func(addr string), log zerolog.Logger) config.Config {
+	cfg, err := config.Reload(getenv, brokerFile)
 	if err != nil {
 		// Guards the service against a file that is wrong or half written.
 		log.Error().Err(err).Msg("new configuration is faulty, the old one stays")
@@ -101,14 +152,19 @@
 	return old
 }
 
-func serve(cfg config.Config, sig signals, log zerolog.Logger) error {
+func serve(cfg config.Config, getenv func(string) string, sig signals, log zerolog.Logger) error {
 	runtime.GOMAXPROCS(1) // we are given one core
 	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.MemoryMB) * (1 << 20)))
 
 	started := time.Now()
 	clock := func() time.Duration { return clockStart + time.Since(started) }
 	set := cfg.Settings
+	set.Module.Remarks = cfg.Tracing.On()
 	core := broker.New(set, decide.New(set.Module, cfg.Seed), clock, coreLog{log})
+	traced, err := newTraces(core, cfg, started.Add(-clockStart), log)
+	if err != nil {
+		return err
+	}
 	var flows *ipfix.Exporter
 	ended := func(transport.Stats) {}
 	if cfg.IPFIXCollector != "" {
@@ -126,7 +182,7 @@
 		return fmt.Errorf("LB_LISTEN: %w", err)
 	}
 	e := &ending{core: core, longest: longest(set.Module.Classes), front: front, listeners: []*transport.Listener{ln}, flows: flows,
-		log: log, stop: make(chan struct{})}
+		traces: traced, log: log, stop: make(chan struct{})}
 	var columns *flight.Front
 	if cfg.FlightListen != "" {
 		if columns, err = flight.New(core, set.Module.Classes, net, cfg.Seed, log); err != nil {
@@ -146,6 +202,9 @@
 		if flows != nil {
 			flows.Start()
 		}
+		if traced != nil {
+			traced.ship()
+		}
 		links.Start()
 		dir.Take(cfg.Known)
 		front.Ready()
@@ -157,7 +216,7 @@
 		for ending := false; !ending; {
 			select {
 			case <-sig.again:
-				held = reload(held, func(addr string) { core.Post(func() { dir.Move(addr) }) }, log)
+				held = reload(held, getenv, func(addr string) { core.Post(func() { dir.Move(addr) }) }, log)
 			case <-sig.end:
 				ending = true // from here on, a hang-up means nothing
 			}
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -13,6 +13,7 @@
 
 	"kiteloft/decide"
 	"kiteloft/internal/settings"
+	"kiteloft/internal/tracing"
 )
 
 // Query is what a front hands to the core.
@@ -26,6 +27,8 @@
 	Text     []byte // what each part has to carry
 	Parts    []QueryPart
 	Answerer Answerer
+	Front    string           // the front's name, for traces
+	Context  *tracing.Context // what the client says of its trace; nil: nothing
 }
 
 // QueryPart is one part of a query.
@@ -88,8 +91,8 @@
 
 // Log takes the core's log lines.
 type Log interface {
-	Module(line string)           // a line of the module's
-	Guard(rule, id, about string) // a guard of the core's stepped in
+	Module(line string)                  // a line of the module's
+	Guard(rule, id, trace, about string) // a guard of the core's stepped in; id and trace are a query's, or ""
 }
 
 // lastGuard is how long before a query's time is up the core ends it itself, or a
@@ -111,6 +114,7 @@
 	nodes  Nodes
 	dir    Directory
 	log    Log
+	traces *tracing.Recorder // nil: none are recorded
 	mail   mailbox
 	timers timers
 	now    time.Duration
@@ -124,6 +128,7 @@
 	told     map[string]time.Duration // by node, when we were told that it drains or is gone
 	number   int64
 	held     int // open queries and their parts
+	shards   []int
 	stopping bool
 	idle     func() // called once nothing is open, after Stop
 }
@@ -140,6 +145,7 @@
 	whole   bool  // the first step's answer was whole
 	over    bool
 	counted int // what it adds to held
+	trace   *tracing.Query
 }
 
 type part struct {
@@ -153,6 +159,7 @@
 	in       bool
 	score    int64
 	value    []byte
+	trace    int32 // its index in the trace
 }
 
 // Attempt is one send of a part to a node.
@@ -175,6 +182,7 @@
 	over bool
 
 	neverRan bool // its outcome proves it
+	trace    int32
 }
 
 // Left is how long the attempt will still be waited for.
@@ -183,6 +191,29 @@
 // Over reports whether the attempt has ended.
 func (a *Attempt) Over() bool { return a.over }
 
+// Connected notes when a connection was there for the attempt.
+func (a *Attempt) Connected(now time.Duration) { a.p.q.trace.Connected(a.trace, now) }
+
+// Written notes when its last byte was written.
+func (a *Attempt) Written(now time.Duration) { a.p.q.trace.Written(a.trace, now) }
+
+// Heard notes when the first byte of its answer came.
+func (a *Attempt) Heard(at time.Duration) { a.p.q.trace.Heard(a.trace, at) }
+
+// Traced reports whether anybody wants to know of the attempt's times.
+func (a *Attempt) Traced() bool { return a.p.q.trace != nil }
+
+// Parentage is what the attempt's node is told of its trace, as W3C's traceparent
+// and tracestate; both are empty where nothing is recorded and the client said
+// nothing.
+func (a *Attempt) Parentage() (parent, state string) {
+	q := a.p.q
+	if parent, state = q.trace.Parentage(a.trace); parent == "" && q.Context != nil {
+		return tracing.Traceparent(q.Context.Trace, q.Context.Parent, q.Context.Flags), q.Context.State
+	}
+	return parent, state
+}
+
 // New returns a Core. Use sets its surroundings before Run.
 func New(set settings.Settings, mod Stepper, clock func() time.Duration, log Log) *Core {
 	return &Core{set: set, mod: mod, clock: clock, log: log, mail: newMailbox(),
@@ -193,6 +224,9 @@
 // Use gives the core its nodes and its directory.
 func (c *Core) Use(n Nodes, d Directory) { c.nodes, c.dir = n, d }
 
+// Record has the core hand what it does to r.
+func (c *Core) Record(r *tracing.Recorder) { c.traces = r }
+
 // Post runs fn on the core's goroutine, in order. It never blocks.
 func (c *Core) Post(fn func()) { c.mail.put(fn) }
 
@@ -298,6 +332,9 @@
 	for _, p := range in.Parts {
 		work += p.Work
 	}
+	if c.traces != nil {
+		q.trace = c.begin(in, work)
+	}
 	c.events = append(c.events, decide.QueryArrived{ID: q.id, Number: q.number, Class: in.Class, Tenant: in.Tenant,
 		Key: in.Key, Left: in.Left, Work: work, Repeat: in.Repeat})
 	c.open(q, in.Parts)
@@ -322,6 +359,7 @@
 	q.parts = nil
 	for _, in := range list {
 		p := &part{q: q, shard: in.Shard, weight: in.Weight, second: q.second}
+		p.trace = q.trace.AddPart(c.now, q.second, in.Shard, in.Weight)
 		p.id = q.id + "." + number(int64(in.Shard))
 		if q.second {
 			p.id += "b"
@@ -347,7 +385,7 @@
 	if h.q.over {
 		return
 	}
-	h.c.close(h.q)
+	h.c.close(h.q, tracing.Deserted, decide.NoCause)
 	h.c.events = append(h.c.events, decide.ClientGone{Query: h.q.id})
 }
 
@@ -357,24 +395,28 @@
 	if q.over {
 		return
 	}
-	c.log.Guard("one-answer", q.WireID, "the module had not ended it")
+	c.guard(q, "one-answer", "the module had not ended it")
 	c.abandon(q)
 }
 
 // abandon fails a query without the module's word.
 func (c *Core) abandon(q *query) {
-	c.close(q)
+	c.close(q, tracing.Expired, decide.TimeUp)
 	q.Answerer.Failed(true)
 	c.events = append(c.events, decide.ClientGone{Query: q.id})
 }
 
 // close forgets a query; what is still out for it is given up.
-func (c *Core) close(q *query) {
+func (c *Core) close(q *query, how tracing.How, why decide.Cause) {
 	q.over = true
 	c.held -= q.counted
 	delete(c.queries, q.id)
 	delete(c.wireIDs, q.WireID)
 	c.shed(q)
+	if q.trace != nil {
+		c.traces.End(c.now, q.trace, how, uint8(why))
+		q.trace = nil // the record is not ours any more
+	}
 }
 
 // shed ends the parts of a step.
@@ -400,14 +442,19 @@
 	if a.over {
 		return // a late frame
 	}
-	if o == decide.OK && !a.p.q.over && a.p.second == a.p.q.second && !a.p.in {
+	won := o == decide.OK && !a.p.q.over && a.p.second == a.p.q.second && !a.p.in
+	if won {
 		a.p.in, a.p.score, a.p.value = true, score, value
 	}
+	a.p.q.trace.AttemptOver(a.trace, c.now, tracing.Outcome(o), !o.NeverRan(), won)
 	c.finish(a, o)
 }
 
 // finish reports the one outcome of an attempt to the module.
 func (c *Core) finish(a *Attempt, o decide.Outcome) {
+	if a.p.q.trace != nil && o != decide.OK {
+		a.p.q.trace.AttemptOver(a.trace, c.now, tracing.Outcome(o), !o.NeverRan(), false)
+	}
 	a.over, a.neverRan = true, o.NeverRan()
 	a.p.out--
 	c.report(a, o)
--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -20,7 +20,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	own := map[string]bool{"kiteloft/decide": true, "kiteloft/internal/settings": true, "kiteloft/internal/broker": true}
+	own := map[string]bool{"kiteloft/decide": true, "kiteloft/internal/settings": true, "kiteloft/internal/broker": true,
+		"kiteloft/internal/tracing": true}
 	for _, dep := range strings.Fields(string(out)) {
 		switch {
 		case strings.HasPrefix(dep, "kiteloft/") && !own[dep],
@@ -76,7 +77,7 @@
 func (s *stage) Watch(bool)                       {}
 func (s *stage) Read()                            {}
 func (s *stage) Module(string)                    {}
-func (s *stage) Guard(rule, _, _ string)          { s.guards = append(s.guards, rule) }
+func (s *stage) Guard(rule, _, _, _ string)       { s.guards = append(s.guards, rule) }
 func (s *stage) Refused(time.Duration)            { s.answers = append(s.answers, "refused") }
 func (s *stage) Served(whole bool, values []Value) {
 	text := "served"
--- a/internal/broker/step.go
+++ b/internal/broker/step.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"kiteloft/decide"
+	"kiteloft/internal/tracing"
 )
 
 const (
@@ -48,11 +49,15 @@
 			}
 		case decide.Refuse:
 			if q := c.queries[a.Query]; q != nil {
-				c.refuse(q, a.RetryAfter)
+				c.refuse(q, a.RetryAfter, a.Why)
 			}
 		case decide.Fail:
 			if q := c.queries[a.Query]; q != nil {
-				c.fail(q)
+				c.fail(q, a.Why)
+			}
+		case decide.Remark:
+			if p := c.parts[a.Part]; p != nil {
+				p.q.trace.Event(c.now, p.trace, shortages[a.What], "")
 			}
 		case decide.Wake:
 			c.timers.add(c.now+min(a.After, maxWake), func() {
@@ -83,7 +88,7 @@
 func (c *Core) ask(events []decide.Event) (actions []decide.Action) {
 	defer func() {
 		if r := recover(); r != nil {
-			c.log.Guard("module", "", fmt.Sprintf("panic: %v\n%s", r, debug.Stack()))
+			c.log.Guard("module", "", "", fmt.Sprintf("panic: %v\n%s", r, debug.Stack()))
 		}
 	}()
 	return c.mod.Step(c.now, events)
@@ -112,7 +117,7 @@
 	}
 	q := p.q
 	a := &Attempt{WireID: q.WireID, Shard: p.shard, Key: q.Key, Class: q.class.Name, Second: p.second, Text: q.Text,
-		Node: Node{ID: s.Server}, p: p, n: len(p.attempts), sent: c.now}
+		Node: Node{ID: s.Server}, p: p, n: len(p.attempts), sent: c.now, trace: -1}
 	p.attempts = append(p.attempts, a)
 	m, known := c.members[s.Server]
 	stop := q.end
@@ -125,17 +130,20 @@
 		return c.moot(a)
 	case c.closed(m.ID):
 		// Guards the rule on drains against the module's own book-keeping.
-		c.log.Guard("drain", q.WireID, "node "+m.ID+" drains for too long")
+		c.guard(q, "drain", "node "+m.ID+" drains for too long")
 		return c.moot(a)
 	case !c.holds(m, p.shard):
 		// Guards the run: a part at a node without its shard voids it.
-		c.log.Guard("holders", q.WireID, "node "+m.ID+" lacks shard "+number(int64(p.shard)))
+		c.guard(q, "holders", "node "+m.ID+" lacks shard "+number(int64(p.shard)))
 		return c.moot(a)
 	}
 	if p.second {
 		a.From, a.Whole = q.from, q.whole
 	}
 	a.Node.Addr, a.stop = m.Addr, stop
+	if q.trace != nil {
+		c.traceAttempt(a, m, s.Why)
+	}
 	p.out++
 	c.timers.add(stop, func() {
 		if !a.over {
@@ -193,13 +201,13 @@
 	}
 	// Guards the rule on honest answers against the module's own book-keeping.
 	if weight < floor-weightSlack {
-		c.log.Guard("honest", q.WireID, "answer from too few parts")
-		c.fail(q)
+		c.guard(q, "honest", "answer from too few parts")
+		c.fail(q, decide.NoCause)
 		c.events = append(c.events, decide.ClientGone{Query: q.id})
 		return
 	}
 	if whole && (!all && weight < need-weightSlack || q.second && (!all || !q.whole)) {
-		c.log.Guard("honest", q.WireID, "answer marked whole that is not")
+		c.guard(q, "honest", "answer marked whole that is not")
 		whole = false
 	}
 	if q.class.FollowParts > 0 && !q.second {
@@ -212,7 +220,11 @@
 			values = append(values, Value{Shard: p.shard, Body: p.value})
 		}
 	}
-	c.close(q)
+	how := tracing.Served
+	if !whole {
+		how = tracing.Short
+	}
+	c.close(q, how, decide.NoCause)
 	q.Answerer.Served(whole, values)
 }
 
@@ -243,21 +255,25 @@
 }
 
 // refuse ends a query with the word that asking again is harmless.
-func (c *Core) refuse(q *query, after time.Duration) {
+func (c *Core) refuse(q *query, after time.Duration, why decide.Cause) {
 	if q.class.Semantics != decide.Repeatable && slices.ContainsFunc(q.parts, (*part).mayHaveRun) {
 		// Guards the rule on refusals: what may have run may not run twice.
-		c.log.Guard("refusal", q.WireID, "a part may have run")
-		c.fail(q)
+		c.guard(q, "refusal", "a part may have run")
+		c.fail(q, why)
 		return
 	}
-	c.close(q)
+	c.close(q, tracing.Refused, why)
 	q.Answerer.Refused(after)
 }
 
 // fail ends a query without any promise.
-func (c *Core) fail(q *query) {
-	c.close(q)
-	q.Answerer.Failed(c.now >= q.end-lateTicks*c.set.Module.Tick)
+func (c *Core) fail(q *query, why decide.Cause) {
+	expired, how := c.now >= q.end-lateTicks*c.set.Module.Tick, tracing.Failed
+	if expired {
+		how = tracing.Expired
+	}
+	c.close(q, how, why)
+	q.Answerer.Failed(expired)
 }
 
 func (p *part) mayHaveRun() bool {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -3,9 +3,11 @@
 package config
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"net/netip"
+	"net/url"
 	"os"
 	"reflect"
 	"strconv"
@@ -33,14 +35,36 @@
 
 	FlightListen   string // "": no Arrow Flight front
 	IPFIXCollector string // "": no export of flows
+	Tracing        Tracing
 }
 
+// Tracing says what becomes of traces. Without a collector and a directory, none are
+// recorded.
+type Tracing struct {
+	Collector  string // URL of a collector that takes OTLP over HTTP; "": none
+	Directory  string // of segment files; "": none
+	MemoryKB   int    // that traces held may take, about
+	Spans      float64
+	SegmentMB  int // size of a segment file
+	MostOfThem int // segment files that are left in the directory
+}
+
+// On reports whether traces are recorded.
+func (t Tracing) On() bool { return t.Collector != "" || t.Directory != "" }
+
 const (
 	defaultMemoryMB = 192
 	defaultSockets  = 1024
 	leastMemoryMB   = 32
 	leastSockets    = 64
 	maxFile         = 64 << 20
+
+	defaultTraceKB  = 4096
+	leastTraceKB    = 64
+	mostTraceShare  = 4 // one in so many bytes of the memory may hold traces
+	defaultSpans    = 200
+	defaultSegment  = 8
+	defaultSegments = 32
 )
 
 // Fixed names the keys in which the new configuration differs though they hold
@@ -54,6 +78,7 @@
 		{"limits", c.Cores == next.Cores && c.MemoryMB == next.MemoryMB && c.Sockets == next.Sockets},
 		{"settings", reflect.DeepEqual(c.Settings, next.Settings)},
 		{"flight.listen", c.FlightListen == next.FlightListen}, {"ipfix.collector", c.IPFIXCollector == next.IPFIXCollector},
+		{"tracing", c.Tracing == next.Tracing},
 	} {
 		if !k.same {
 			keys = append(keys, k.name)
@@ -85,6 +110,14 @@
 	IPFIX struct {
 		Collector string `toml:"collector"`
 	} `toml:"ipfix"`
+	Tracing struct {
+		Collector string  `toml:"collector"`
+		Directory string  `toml:"directory"`
+		MemoryKB  int     `toml:"memory_kb"`
+		Spans     float64 `toml:"spans_per_second"`
+		SegmentMB int     `toml:"segment_mb"`
+		Segments  int     `toml:"segments"`
+	} `toml:"tracing"`
 }
 
 // Load reads the environment, the file that LB_CONFIG names, and the project's
@@ -199,7 +232,40 @@
 		}
 	}
 	if c.IPFIXCollector != "" {
-		return address(path+": ipfix.collector", c.IPFIXCollector)
+		if err := address(path+": ipfix.collector", c.IPFIXCollector); err != nil {
+			return err
+		}
+	}
+	return c.readTracing(path, &b)
+}
+
+func (c *Config) readTracing(path string, b *broker) error {
+	t := &b.Tracing
+	c.Tracing = Tracing{Collector: t.Collector, Directory: t.Directory, MemoryKB: cmp.Or(t.MemoryKB, defaultTraceKB),
+		Spans: cmp.Or(t.Spans, defaultSpans), SegmentMB: cmp.Or(t.SegmentMB, defaultSegment), MostOfThem: cmp.Or(t.Segments, defaultSegments)}
+	if t.Collector != "" {
+		u, err := url.Parse(t.Collector)
+		if err == nil && (u.Scheme != "http" || u.Path == "" || u.User != nil) {
+			err = errors.New("want http://address:port/path")
+		}
+		if err == nil {
+			_, err = netip.ParseAddrPort(u.Host) // there is no DNS
+		}
+		if err != nil {
+			return fmt.Errorf("%s: tracing.collector: %w", path, err)
+		}
+	}
+	most := int(c.MemoryMB * 1024 / mostTraceShare)
+	switch {
+	case t.MemoryKB == 0:
+		c.Tracing.MemoryKB = min(c.Tracing.MemoryKB, most)
+	case t.MemoryKB < leastTraceKB || t.MemoryKB > most:
+		return fmt.Errorf("%s: tracing.memory_kb: %d is not between %d and %d, a quarter of the memory", path, t.MemoryKB, leastTraceKB, most)
+	}
+	for key, x := range map[string]float64{"spans_per_second": t.Spans, "segment_mb": float64(t.SegmentMB), "segments": float64(t.Segments)} {
+		if !(x >= 0 && x <= 1e9) {
+			return fmt.Errorf("%s: tracing.%s: %g can't be", path, key, x)
+		}
 	}
 	return nil
 }
--- a/internal/front/flight/flight.go
+++ b/internal/front/flight/flight.go
@@ -28,6 +28,7 @@
 	"kiteloft/internal/columns"
 	"kiteloft/internal/front"
 	"kiteloft/internal/h2"
+	"kiteloft/internal/tracing"
 	"kiteloft/internal/transport"
 )
 
@@ -90,6 +91,7 @@
 	timeout string
 	key     string
 	again   bool
+	context *tracing.Context
 	msgs    h2.Messages
 	msg     []byte
 	handle  *broker.Handle
@@ -144,6 +146,7 @@
 		timeout: h2.Get(fields, "grpc-timeout"), key: h2.Get(fields, "idempotency-key")}
 	again := h2.Get(fields, "grpc-previous-rpc-attempts")
 	k.again = again != "" && again != "0"
+	k.context = tracing.ReadContext(h2.Get(fields, "traceparent"), h2.Get(fields, "tracestate"))
 	s.User = k
 	c.calls[k], c.asked = struct{}{}, true
 	method, ok := strings.CutPrefix(h2.Get(fields, ":path"), service)
@@ -272,7 +275,7 @@
 	}
 	id := strconv.FormatUint(f.rng.Uint64(), 16)
 	q.WireID = front.OwnPrefix + strings.Repeat("0", 16-len(id)) + id
-	q.Repeat, q.Answerer = k.again, k
+	q.Repeat, q.Answerer, q.Front, q.Context = k.again, k, "flight", k.context
 	switch verdict, handle := f.core.Take(q); verdict {
 	case broker.Taken:
 		k.handle = handle
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -14,6 +14,7 @@
 	"kiteloft/internal/broker"
 	"kiteloft/internal/front"
 	"kiteloft/internal/http1"
+	"kiteloft/internal/tracing"
 	"kiteloft/internal/transport"
 )
 
@@ -225,7 +226,8 @@
 		return q, 400, "Req-Deadline-Ms is no time"
 	}
 	q = broker.Query{WireID: id, Class: class, Left: time.Duration(ms) * time.Millisecond,
-		Repeat: m.Header.Get("req-retry") == "1"}
+		Repeat: m.Header.Get("req-retry") == "1", Front: "platform"}
+	q.Context = tracing.ReadContext(m.Header.Get("traceparent"), m.Header.Get("tracestate"))
 	if err := front.CheckKey(m.Header.Get("idempotency-key"), &f.set[class], &q); err != nil {
 		return q, 400, err.Error()
 	}
--- a/internal/node/flight/flight.go
+++ b/internal/node/flight/flight.go
@@ -79,6 +79,12 @@
 		if t.Key != "" {
 			fields = append(fields, hpack.HeaderField{Name: "idempotency-key", Value: t.Key})
 		}
+		if parent, state := t.Parentage(); parent != "" {
+			fields = append(fields, hpack.HeaderField{Name: "traceparent", Value: parent})
+			if state != "" {
+				fields = append(fields, hpack.HeaderField{Name: "tracestate", Value: state})
+			}
+		}
 		text, err := json.Marshal(tk)
 		if err == nil {
 			text, err = proto.Marshal(&flight.Ticket{Ticket: text})
@@ -148,6 +154,7 @@
 	if !ok || p.ended {
 		return
 	}
+	s.heard(p)
 	status, given := h2.ParseStatus(fields)
 	switch {
 	case !end && h2.Get(fields, ":status") != "" && h2.Get(fields, ":status") != "200":
@@ -163,6 +170,13 @@
 	}
 }
 
+// heard notes that a part's answer has begun.
+func (s *session) heard(p *part) {
+	if p.t != nil {
+		p.t.Heard(s.l.Now())
+	}
+}
+
 // Outcome maps a node's status to the module's outcome. Only a refusal, which
 // says when to come back, and a full queue prove that the part never ran.
 func Outcome(st h2.Status) decide.Outcome {
@@ -227,6 +241,7 @@
 	if !ok || p.ended {
 		return
 	}
+	s.heard(p)
 	list, err := p.msgs.Add(b)
 	for _, m := range list {
 		p.bytes += len(m)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -101,6 +101,7 @@
 	retired bool                     // the node said more than it was asked: nothing new goes here
 	partial bool                     // a message has begun, and a look at it is due
 	heard   time.Duration            // when bytes last came
+	began   time.Duration            // when the message that is coming in began
 	waits   time.Duration            // since when something has waited for a word; 0: nothing does
 	probes  []*probe                 // in the order in which their answers come
 	used    time.Duration
@@ -349,6 +350,14 @@
 	l.used = l.ls.core.Now()
 	l.asks()
 	l.session.Send(batch)
+	for _, t := range batch {
+		if t.Traced() {
+			t.Connected(l.used)
+			if at, all := l.session.Sent(t); all && l.conn.Written(at) {
+				t.Written(l.used)
+			}
+		}
+	}
 }
 
 // GiveUp implements broker.Nodes.
@@ -424,6 +433,9 @@
 
 // ---- for sessions ----
 
+// Now is the core's clock.
+func (l *Link) Now() time.Duration { return l.ls.core.Now() }
+
 // Write sends bytes; it returns the offset of the last one.
 func (l *Link) Write(b []byte) int64 { return l.conn.Write(b) }
 
@@ -436,6 +448,7 @@
 // some attempt will never get its own answer.
 func (l *Link) Ticket(id string) (*Ticket, error) {
 	if t := l.out[id]; t != nil {
+		t.Heard(l.began)
 		return t, nil
 	}
 	if _, ok := l.gone[id]; ok {
@@ -481,6 +494,9 @@
 func (l *Link) Data(b []byte) {
 	l.used = l.ls.core.Now()
 	l.heard, l.waits = l.used, 0
+	if !l.session.Partial() {
+		l.began = l.used
+	}
 	if err := l.session.Data(b); err != nil {
 		l.spoilt(err)
 		return
--- /dev/null
+++ b/internal/otlp/decode.go
@@ -0,0 +1,184 @@
+package otlp
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	common "go.opentelemetry.io/proto/otlp/common/v1"
+	trace "go.opentelemetry.io/proto/otlp/trace/v1"
+
+	"kiteloft/internal/tracing"
+)
+
+// Trace is a query's trace as it was written by one mixer.
+type Trace struct {
+	tracing.Query
+	Mixer  string
+	Class  string
+	Zones  []string  // of its attempts, by index
+	At     time.Time // when the query began; its other times count from there
+	Weight float64   // how many queries it stands for
+}
+
+// Lost is what a mixer said that it could not hold of a class.
+type Lost struct {
+	Mixer, Class string
+	At           time.Time
+	tracing.Loss
+}
+
+// attributes are those of a span or an event.
+type attributes []*common.KeyValue
+
+func (a attributes) get(key string) *common.AnyValue {
+	for _, kv := range a {
+		if kv.GetKey() == key {
+			return kv.GetValue()
+		}
+	}
+	return nil
+}
+
+func (a attributes) text(key string) string    { return a.get(key).GetStringValue() }
+func (a attributes) integer(key string) int64  { return a.get(key).GetIntValue() }
+func (a attributes) number(key string) float64 { return a.get(key).GetDoubleValue() }
+func (a attributes) boolean(key string) bool   { return a.get(key).GetBoolValue() }
+func (a attributes) duration(key string) time.Duration {
+	return time.Duration(a.number(key) * float64(time.Millisecond))
+}
+
+// Decode reads the traces of a message back. Spans whose root is not among them, or
+// that kiteloft did not write, are counted as strays.
+func Decode(data *trace.TracesData) (list []*Trace, lost []Lost, strays int, err error) {
+	for _, rs := range data.GetResourceSpans() {
+		mixer := attributes(rs.GetResource().GetAttributes()).text(keyInstance)
+		for _, ss := range rs.GetScopeSpans() {
+			t, l, n, err := decodeSpans(mixer, ss.GetSpans())
+			if err != nil {
+				return list, lost, strays, err
+			}
+			list, lost, strays = append(list, t...), append(lost, l...), strays+n
+		}
+	}
+	return list, lost, strays, nil
+}
+
+func decodeSpans(mixer string, spans []*trace.Span) (list []*Trace, lost []Lost, strays int, err error) {
+	var cur *Trace
+	var parts map[int64]int32
+	for _, sp := range spans {
+		at := attributes(sp.GetAttributes())
+		switch name := sp.GetName(); {
+		case len(sp.GetTraceId()) != 16 || len(sp.GetSpanId()) != 8:
+			return list, lost, strays, fmt.Errorf("span %q has no sound id", name)
+		case name == nameLoss:
+			lost = append(lost, Lost{Mixer: mixer, Class: at.text(keyClass), At: time.Unix(0, int64(sp.GetStartTimeUnixNano())),
+				Loss: tracing.Loss{Always: int(at.integer(keyLostFor)), Chance: int(at.integer(keyLostBy)),
+					Unrecorded: int(at.integer(keyLostAll))}})
+		case sp.GetKind() == trace.Span_SPAN_KIND_SERVER:
+			cur, parts = decodeRoot(mixer, sp), map[int64]int32{}
+			list = append(list, cur)
+		case cur == nil || !slices.Equal(cur.Trace[:], sp.GetTraceId()):
+			strays++
+		case name == nameStep:
+			if at.integer(keyStep) == 1 {
+				cur.Step2 = cur.since(sp.GetStartTimeUnixNano())
+			}
+		case name == namePart:
+			p := tracing.Part{Place: int32(at.integer(keyPart)), Step: uint8(at.integer(keyStep)), Shard: int32(at.integer(keyShard)),
+				Weight: float32(at.number(keyMass)), In: at.boolean(keyIn), Begin: cur.since(sp.GetStartTimeUnixNano())}
+			if p.In {
+				p.End = cur.since(sp.GetEndTimeUnixNano())
+			}
+			parts[int64(p.Place)] = int32(len(cur.Parts))
+			cur.Parts = append(cur.Parts, p)
+		case name == nameAttempt:
+			part, ok := parts[at.integer(keyPart)]
+			if !ok {
+				strays++
+				continue
+			}
+			cur.addAttempt(sp, at, part)
+		default:
+			strays++
+		}
+	}
+	for _, t := range list {
+		for i := range t.Events { // written with places, which may come before their parts
+			e := &t.Events[i]
+			if e.Part >= 0 {
+				e.Part = int32(slices.IndexFunc(t.Parts, func(p tracing.Part) bool { return p.Place == e.Part }))
+			}
+		}
+	}
+	return list, lost, strays, nil
+}
+
+func (t *Trace) since(nanos uint64) time.Duration { return time.Unix(0, int64(nanos)).Sub(t.At) }
+
+func decodeRoot(mixer string, sp *trace.Span) *Trace {
+	at := attributes(sp.GetAttributes())
+	t := &Trace{Mixer: mixer, Class: at.text(keyClass), At: time.Unix(0, int64(sp.GetStartTimeUnixNano())), Weight: at.number(keyWeight)}
+	q := &t.Query
+	copy(q.Trace[:], sp.GetTraceId())
+	copy(q.Root[:], sp.GetSpanId())
+	copy(q.Parent[:], sp.GetParentSpanId())
+	q.Front, q.WireID = at.text(keyFront), at.text(keyQuery)
+	q.Wanted, q.Deadline, q.End = at.duration(keyWanted), at.duration(keyDeadline), t.since(sp.GetEndTimeUnixNano())
+	q.How = tracing.How(max(0, hows.index(at.text(keyHow))))
+	q.Why = uint8(max(0, causes.index(at.text(keyWhy))))
+	for _, v := range at.get(keyKeep).GetArrayValue().GetValues() {
+		if i := keeps.index(v.GetStringValue()); i >= 0 {
+			q.Keep |= 1 << i
+		}
+	}
+	q.Dropped = tracing.Dropped{Parts: int(at.integer(keyDropP)), Attempts: int(at.integer(keyDropA)), Events: int(at.integer(keyDropE))}
+	for _, ev := range sp.GetEvents() {
+		ea := attributes(ev.GetAttributes())
+		e := tracing.Event{At: t.since(ev.GetTimeUnixNano()), Part: -1, Kind: tracing.EventKind(max(0, events.index(ev.GetName()))), Text: ea.text(keyText)}
+		if ea.get(keyPart) != nil {
+			e.Part = int32(ea.integer(keyPart))
+		}
+		q.Events = append(q.Events, e)
+	}
+	return t
+}
+
+func (t *Trace) addAttempt(sp *trace.Span, at attributes, part int32) {
+	a := tracing.Attempt{Place: int32(at.integer("kiteloft.place")), Part: part, N: uint8(at.integer(keyN)),
+		Reason: tracing.Reason(max(0, reasons.index(at.text(keyReason)))), Why: uint8(max(0, choices.index(at.text(keyChoice)))),
+		Won: at.boolean(keyWon), MayHaveRun: at.boolean(keyMayRun), Cell: int32(at.integer(keyCell)), Node: at.text(keyNode),
+		Address: at.text(keyAddress), Zone: -1, Begin: t.since(sp.GetStartTimeUnixNano())}
+	if a.Over = !at.boolean(keyOpen); a.Over {
+		a.End = t.since(sp.GetEndTimeUnixNano())
+		a.Outcome = tracing.Outcome(max(0, outcomes.index(at.text(keyOutcome))))
+	}
+	if zone := at.text(keyZone); zone != "" {
+		i := slices.Index(t.Zones, zone)
+		if i < 0 {
+			i = len(t.Zones)
+			t.Zones = append(t.Zones, zone)
+		}
+		a.Zone = int16(i)
+	}
+	for _, ev := range sp.GetEvents() {
+		switch when := t.since(ev.GetTimeUnixNano()); ev.GetName() {
+		case nameConnected:
+			a.Connected = when
+		case nameWritten:
+			a.Written = when
+		case nameHeard:
+			a.Heard = when
+		}
+	}
+	t.Attempts = append(t.Attempts, a)
+}
+
+// Zone is the name of an attempt's zone; "" if it is not known.
+func (t *Trace) Zone(a *tracing.Attempt) string {
+	if a.Zone < 0 || int(a.Zone) >= len(t.Zones) {
+		return ""
+	}
+	return t.Zones[a.Zone]
+}
--- /dev/null
+++ b/internal/otlp/sender.go
@@ -0,0 +1,168 @@
+package otlp
+
+import (
+	"bytes"
+	"compress/gzip"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	trace "go.opentelemetry.io/proto/otlp/trace/v1"
+	"google.golang.org/protobuf/encoding/protowire"
+	"google.golang.org/protobuf/proto"
+)
+
+const (
+	maxAnswer   = 64 << 10 // bytes of a collector's answer that are read
+	sendTimeout = 10 * time.Second
+	contentType = "application/x-protobuf"
+)
+
+// Sender posts messages to a collector by OTLP over HTTP, in protobuf.
+type Sender struct {
+	url    string
+	client *http.Client
+}
+
+// NewSender returns a Sender to a collector's URL, path included.
+func NewSender(url string) *Sender {
+	return &Sender{url: url, client: &http.Client{
+		Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute, DisableCompression: true},
+		// A collector answers; it does not send us elsewhere.
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}}
+}
+
+// Partial is what a collector that took a message did not take of it.
+type Partial struct {
+	Rejected int64 // spans
+	Message  string
+}
+
+// Rejection is a collector's answer that sending the same again won't change.
+type Rejection struct{ Status int }
+
+func (r *Rejection) Error() string {
+	return fmt.Sprintf("the collector answered %d", r.Status)
+}
+
+// Retry is a failure after which the same message may be sent again.
+type Retry struct {
+	After time.Duration // as the collector asked; 0: it did not
+	Err   error
+}
+
+func (r *Retry) Error() string { return r.Err.Error() }
+
+// Unwrap is the failure itself.
+func (r *Retry) Unwrap() error { return r.Err }
+
+// Send posts a message, once. Its error is a *Retry or a *Rejection; OTLP's
+// specification names the statuses that may be tried again.
+func (s *Sender) Send(ctx context.Context, data *trace.TracesData, now time.Time) (Partial, error) {
+	// A request of the service has the form of TracesData. Its own package is left
+	// out: it brings a gateway for servers along.
+	body, err := proto.Marshal(data)
+	if err != nil {
+		return Partial{}, &Rejection{}
+	}
+	var zipped bytes.Buffer
+	z := gzip.NewWriter(&zipped)
+	_, err = z.Write(body) // into memory: never fails
+	if err = errors.Join(err, z.Close()); err != nil {
+		return Partial{}, &Rejection{}
+	}
+	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, s.url, &zipped)
+	if err != nil {
+		return Partial{}, &Rejection{}
+	}
+	req.Header.Set("Content-Type", contentType)
+	req.Header.Set("Content-Encoding", "gzip")
+	resp, err := s.client.Do(req)
+	if err != nil {
+		return Partial{}, &Retry{Err: err}
+	}
+	defer func() { _ = resp.Body.Close() }() // read as far as it matters
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	switch {
+	case resp.StatusCode/100 == 2:
+		if err != nil {
+			return Partial{}, &Retry{Err: err}
+		}
+		return partial(answer), nil
+	case resp.StatusCode == 429, resp.StatusCode == 502, resp.StatusCode == 503, resp.StatusCode == 504:
+		return Partial{}, &Retry{After: retryAfter(resp.Header.Get("Retry-After"), now), Err: &Rejection{resp.StatusCode}}
+	}
+	return Partial{}, &Rejection{resp.StatusCode}
+}
+
+// partial reads ExportTraceServiceResponse: what a collector says of what it took.
+// An answer that can't be read says nothing.
+func partial(answer []byte) (p Partial) {
+	fields(answer, func(n protowire.Number, _ uint64, b []byte) {
+		if n != 1 { // partial_success
+			return
+		}
+		fields(b, func(n protowire.Number, x uint64, b []byte) {
+			switch n {
+			case 1: // rejected_spans
+				p.Rejected = max(0, int64(x))
+			case 2: // error_message
+				p.Message = string(b)
+			}
+		})
+	})
+	return p
+}
+
+// fields goes over a message's fields, as numbers or bytes, for as far as it can be
+// read.
+func fields(b []byte, take func(n protowire.Number, x uint64, b []byte)) {
+	for len(b) > 0 {
+		n, kind, size := protowire.ConsumeTag(b)
+		if size < 0 {
+			return
+		}
+		b = b[size:]
+		switch kind {
+		case protowire.VarintType:
+			x, size := protowire.ConsumeVarint(b)
+			if size < 0 {
+				return
+			}
+			take(n, x, nil)
+			b = b[size:]
+		case protowire.BytesType:
+			v, size := protowire.ConsumeBytes(b)
+			if size < 0 {
+				return
+			}
+			take(n, 0, v)
+			b = b[size:]
+		default:
+			if size = protowire.ConsumeFieldValue(n, kind, b); size < 0 {
+				return
+			}
+			b = b[size:]
+		}
+	}
+}
+
+// retryAfter reads the header in both its forms.
+func retryAfter(s string, now time.Time) time.Duration {
+	if n, err := strconv.Atoi(s); err == nil {
+		return time.Duration(max(0, n)) * time.Second
+	}
+	if at, err := http.ParseTime(s); err == nil {
+		return max(0, at.Sub(now))
+	}
+	return 0
+}
+
+// Close ends idle connections.
+func (s *Sender) Close() { s.client.CloseIdleConnections() }
--- /dev/null
+++ b/internal/segments/segments.go
@@ -0,0 +1,215 @@
+// Package segments keeps messages in files of bounded size and number. Each file
+// begins with a line that names the format; each message has its length and a
+// checksum before it, so that an end torn by a kill is told from a message.
+package segments
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+)
+
+const (
+	magic      = "KLTRACE1"
+	suffix     = ".seg"
+	headSize   = 8        // length and checksum of a message
+	maxMessage = 64 << 20 // bytes; more is damage
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// Writer writes segments into a directory. It is used by one goroutine.
+type Writer struct {
+	dir   string
+	name  string
+	size  int64
+	files int
+	seq   int
+	file  *os.File
+	wrote int64
+}
+
+// NewWriter returns a Writer of segments of about size bytes, of which it leaves at
+// most so many in the directory; it makes the directory. Names begin with name,
+// which has to be new at each start.
+func NewWriter(dir, name string, size int64, files int) (*Writer, error) {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return nil, fmt.Errorf("segments: %w", err)
+	}
+	return &Writer{dir: dir, name: name, size: size, files: files}, nil
+}
+
+// Append writes a message. After an error the segment is left as it is, and the next
+// message begins another.
+func (w *Writer) Append(b []byte) error {
+	if w.file != nil && w.wrote+int64(len(b)) > w.size {
+		if err := w.Close(); err != nil {
+			return err
+		}
+	}
+	if w.file == nil {
+		if err := w.open(); err != nil {
+			return err
+		}
+	}
+	out := make([]byte, headSize, headSize+len(b))
+	binary.BigEndian.PutUint32(out, uint32(len(b)))
+	binary.BigEndian.PutUint32(out[4:], crc32.Checksum(b, castagnoli))
+	n, err := w.file.Write(append(out, b...))
+	w.wrote += int64(n)
+	if err != nil {
+		_ = w.file.Close() // the write's error says more
+		w.file = nil
+		return fmt.Errorf("segments: %w", err)
+	}
+	return nil
+}
+
+func (w *Writer) open() error {
+	w.seq++
+	path := filepath.Join(w.dir, fmt.Sprintf("%s-%06d%s", w.name, w.seq, suffix))
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_EXCL|os.O_WRONLY, 0o644)
+	if err != nil {
+		return fmt.Errorf("segments: %w", err)
+	}
+	if _, err := io.WriteString(f, magic); err != nil {
+		_ = f.Close() // the write's error says more
+		return fmt.Errorf("segments: %w", err)
+	}
+	w.file, w.wrote = f, int64(len(magic))
+	return w.prune()
+}
+
+// prune removes the oldest segments beyond the number allowed.
+func (w *Writer) prune() error {
+	list, err := List(w.dir)
+	if err != nil {
+		return err
+	}
+	for len(list) > w.files {
+		if err := os.Remove(list[0]); err != nil && !errors.Is(err, os.ErrNotExist) {
+			return fmt.Errorf("segments: %w", err)
+		}
+		list = list[1:]
+	}
+	return nil
+}
+
+// Close ends the open segment; the next message begins another.
+func (w *Writer) Close() error {
+	if w.file == nil {
+		return nil
+	}
+	f := w.file
+	w.file = nil
+	if err := f.Close(); err != nil {
+		return fmt.Errorf("segments: %w", err)
+	}
+	return nil
+}
+
+// List returns the paths of a directory's segments, oldest first: by when they were
+// last written to, since several mixers may share it.
+func List(dir string) ([]string, error) {
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		return nil, fmt.Errorf("segments: %w", err)
+	}
+	type file struct {
+		path string
+		at   int64
+	}
+	var files []file
+	for _, e := range entries {
+		if e.IsDir() || !strings.HasSuffix(e.Name(), suffix) {
+			continue
+		}
+		info, err := e.Info()
+		if errors.Is(err, os.ErrNotExist) {
+			continue // removed meanwhile
+		}
+		if err != nil {
+			return nil, fmt.Errorf("segments: %w", err)
+		}
+		files = append(files, file{filepath.Join(dir, e.Name()), info.ModTime().UnixNano()})
+	}
+	slices.SortFunc(files, func(a, b file) int {
+		if a.at != b.at {
+			if a.at < b.at {
+				return -1
+			}
+			return 1
+		}
+		return strings.Compare(a.path, b.path)
+	})
+	paths := make([]string, len(files))
+	for i, f := range files {
+		paths[i] = f.path
+	}
+	return paths, nil
+}
+
+// Damage is a place in a segment from which on it can't be read.
+type Damage struct {
+	Path   string
+	Offset int64
+	Torn   bool // the end is missing, as after a kill; otherwise the bytes are wrong
+	What   string
+}
+
+func (d *Damage) Error() string {
+	kind := "corrupt"
+	if d.Torn {
+		kind = "cut"
+	}
+	return fmt.Sprintf("%s is %s at byte %d: %s", d.Path, kind, d.Offset, d.What)
+}
+
+// Read hands the messages of a segment to take, in order. It returns a *Damage where
+// the rest can't be read; what came before has been handed over.
+func Read(path string, take func([]byte) error) error {
+	f, err := os.Open(path)
+	if err != nil {
+		return fmt.Errorf("segments: %w", err)
+	}
+	defer func() { _ = f.Close() }() // read only
+	head := make([]byte, len(magic))
+	if _, err := io.ReadFull(f, head); err != nil {
+		return &Damage{Path: path, Torn: true, What: "no whole first line"}
+	}
+	if string(head) != magic {
+		return &Damage{Path: path, What: "no file of traces, or of a later format"}
+	}
+	at := int64(len(magic))
+	for {
+		var h [headSize]byte
+		switch _, err := io.ReadFull(f, h[:]); {
+		case err == io.EOF:
+			return nil
+		case err != nil:
+			return &Damage{Path: path, Offset: at, Torn: true, What: "a message's head is not whole"}
+		}
+		n := binary.BigEndian.Uint32(h[:])
+		// Guards memory against a length that is damage.
+		if n > maxMessage {
+			return &Damage{Path: path, Offset: at, What: fmt.Sprintf("a message of %d bytes", n)}
+		}
+		b := make([]byte, n)
+		if _, err := io.ReadFull(f, b); err != nil {
+			return &Damage{Path: path, Offset: at, Torn: true, What: "a message is not whole"}
+		}
+		if crc32.Checksum(b, castagnoli) != binary.BigEndian.Uint32(h[4:]) {
+			return &Damage{Path: path, Offset: at, What: "the checksum differs"}
+		}
+		if err := take(b); err != nil {
+			return &Damage{Path: path, Offset: at, What: err.Error()}
+		}
+		at += headSize + int64(n)
+	}
+}
--- /dev/null
+++ b/internal/segments/segments_test.go
@@ -0,0 +1,106 @@
+package segments
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func write(t *testing.T, dir string, size int64, files, n int) *Writer {
+	t.Helper()
+	w, err := NewWriter(dir, "n0-1", size, files)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range n {
+		if err := w.Append([]byte(fmt.Sprintf("message %04d", i))); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := w.Close(); err != nil {
+		t.Fatal(err)
+	}
+	return w
+}
+
+// all reads all that can be read, and the first damage.
+func all(t *testing.T, dir string) (got []string, damage *Damage) {
+	t.Helper()
+	list, err := List(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, path := range list {
+		err := Read(path, func(b []byte) error { got = append(got, string(b)); return nil })
+		if err != nil && damage == nil && !errors.As(err, &damage) {
+			t.Fatal(err)
+		}
+	}
+	return got, damage
+}
+
+func TestWhatIsWrittenIsRead(t *testing.T) {
+	dir := t.TempDir()
+	write(t, dir, 60, 100, 7)
+	got, damage := all(t, dir)
+	want := []string{}
+	for i := range 7 {
+		want = append(want, fmt.Sprintf("message %04d", i))
+	}
+	if diff := cmp.Diff(want, got); diff != "" || damage != nil {
+		t.Errorf("damage %v, messages differ: %s", damage, diff)
+	}
+	if list, _ := List(dir); len(list) < 3 {
+		t.Errorf("%d segments of 60 bytes for 7 messages", len(list))
+	}
+}
+
+func TestTheOldestSegmentsGo(t *testing.T) {
+	dir := t.TempDir()
+	write(t, dir, 30, 3, 20)
+	list, err := List(dir)
+	if err != nil || len(list) != 3 {
+		t.Errorf("%d segments, %v", len(list), err)
+	}
+	got, _ := all(t, dir)
+	if len(got) == 0 || got[len(got)-1] != "message 0019" {
+		t.Errorf("read %v, want the latest", got)
+	}
+}
+
+// TestDamageIsToldAndTheRestRead cuts a segment at every byte, and flips each.
+func TestDamageIsToldAndTheRestRead(t *testing.T) {
+	dir := t.TempDir()
+	write(t, dir, 1000, 10, 3)
+	list, _ := List(dir)
+	whole, err := os.ReadFile(list[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	record := headSize + len("message 0000")
+	for n := range whole {
+		path := filepath.Join(t.TempDir(), "cut.seg")
+		if err := os.WriteFile(path, whole[:n], 0o600); err != nil {
+			t.Fatal(err)
+		}
+		got, damage := all(t, filepath.Dir(path))
+		want := max(0, (n-len(magic))/record)
+		ends := n >= len(magic) && (n-len(magic))%record == 0
+		if len(got) != want || (damage == nil) != ends || damage != nil && !damage.Torn {
+			t.Errorf("cut at %d: %d messages, want %d; damage %v", n, len(got), want, damage)
+		}
+		flipped := append([]byte(nil), whole...)
+		flipped[n] ^= 0x40
+		if err := os.WriteFile(path, flipped, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		got, damage = all(t, filepath.Dir(path))
+		if want := max(0, (n-len(magic))/record); damage == nil || len(got) != want {
+			t.Errorf("byte %d wrong: %d messages, want %d; damage %v", n, len(got), want, damage)
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/directory.go
@@ -0,0 +1,157 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Member is an entry of the list of nodes.
+type Member struct {
+	ID       string  `json:"id"`
+	HostPort string  `json:"host_port"`
+	Locality string  `json:"locality"`
+	Cell     int     `json:"cell"`
+	Phase    string  `json:"phase"`
+	Size     float64 `json:"size"`
+	UpSince  int64   `json:"up_since_ms"`
+}
+
+// Directory is discovery. It may serve at several addresses at once.
+type Directory struct {
+	mu       sync.Mutex
+	revision int
+	down     bool
+	asked    []time.Time
+	answered []time.Time
+	members  []Member
+	changed  map[string]int // revision of each member's latest change
+	news     chan struct{}
+	calls    map[string]int // by the address called
+	servers  []*httptest.Server
+}
+
+// NewDirectory returns a Directory that lists the members.
+func NewDirectory(members ...Member) *Directory {
+	return &Directory{revision: 1, members: members, changed: map[string]int{}, news: make(chan struct{}), calls: map[string]int{}}
+}
+
+// Serve listens at one more address and returns it.
+func (d *Directory) Serve() string {
+	s := httptest.NewServer(http.HandlerFunc(d.answer))
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.servers = append(d.servers, s)
+	return s.Listener.Addr().String()
+}
+
+// Close ends all that it serves.
+func (d *Directory) Close() {
+	d.mu.Lock()
+	list := d.servers
+	d.servers = nil
+	d.mu.Unlock()
+	for _, s := range list {
+		s.CloseClientConnections()
+		s.Close()
+	}
+}
+
+func (d *Directory) answer(w http.ResponseWriter, r *http.Request) {
+	from, _ := strconv.Atoi(r.URL.Query().Get("from"))
+	hold, _ := strconv.Atoi(r.URL.Query().Get("hold_ms"))
+	timer := time.After(time.Duration(hold) * time.Millisecond)
+	d.mu.Lock()
+	n := len(d.asked)
+	d.asked = append(d.asked, time.Now())
+	d.answered = append(d.answered, time.Time{})
+	d.calls[r.Host]++
+	d.mu.Unlock()
+	for late := hold == 0; ; {
+		d.mu.Lock()
+		news := d.news
+		d.answered[n] = time.Now()
+		if d.down {
+			d.mu.Unlock()
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		if d.revision > from || late {
+			list := []Member{}
+			for _, m := range d.members {
+				if d.changed[m.ID] > from || from == 0 {
+					list = append(list, m)
+				}
+			}
+			out, err := json.Marshal(map[string]any{"revision": d.revision, "complete": from == 0, "members": list})
+			d.mu.Unlock()
+			if err == nil {
+				_, _ = w.Write(out) // a mixer that has gone hears nothing
+			}
+			return
+		}
+		d.mu.Unlock()
+		select {
+		case <-news:
+		case <-timer:
+			late = true
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// Tell changes a member's phase on the list.
+func (d *Directory) Tell(i int, phase string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.members[i].Phase = phase
+	d.listed(d.members[i].ID)
+}
+
+// Join adds a member to the list.
+func (d *Directory) Join(m Member) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.members = append(d.members, m)
+	d.listed(m.ID)
+}
+
+func (d *Directory) listed(id string) {
+	d.revision++
+	d.changed[id] = d.revision
+	close(d.news)
+	d.news = make(chan struct{})
+}
+
+// SetDown has every call answered by 503, or not.
+func (d *Directory) SetDown(down bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.down = down
+}
+
+// Members are the entries, as they are now.
+func (d *Directory) Members() []Member {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Clone(d.members)
+}
+
+// Calls is how often an address was called.
+func (d *Directory) Calls(addr string) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.calls[addr]
+}
+
+// Asked tells when each call came, and when its answer went as far as it has.
+func (d *Directory) Asked() (asked, answered []time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Clone(d.asked), slices.Clone(d.answered)
+}
--- a/internal/tracing/context.go
+++ b/internal/tracing/context.go
@@ -36,6 +36,19 @@
 	return c
 }
 
+// ReadContext is ParseContext for headers that are mostly absent: nil stands for a
+// client that names no trace.
+func ReadContext(parent, state string) *Context {
+	if parent == "" {
+		return nil
+	}
+	c := ParseContext(parent, state)
+	if c.IsZero() {
+		return nil
+	}
+	return &c
+}
+
 func parseParent(s string) (c Context, ok bool) {
 	const whole = 2 + 1 + 32 + 1 + 16 + 1 + 2
 	if len(s) < whole || s[2] != '-' || s[35] != '-' || s[52] != '-' {
--- a/internal/tracing/hold.go
+++ b/internal/tracing/hold.go
@@ -54,25 +54,22 @@
 	return q
 }
 
-// full makes room and tells whether there is none.
-func (r *Recorder) full() bool {
-	if r.bytes <= r.cfg.Memory {
-		return false
-	}
-	r.fit()
-	return r.bytes > r.cfg.Memory
-}
+// full makes room for one more entry and tells whether there is none.
+func (r *Recorder) full() bool { return !r.fit(attemptSize) }
 
-// fit brings what is held within the memory, in this order: what waits is decided
-// early; then the kept ones degrade, level by level. Open queries stay.
-func (r *Recorder) fit() {
-	for r.bytes > r.cfg.Memory && r.waiting.len() > 0 {
+// fit makes room for so many bytes, in this order: what waits is decided early; then
+// the kept ones degrade, level by level. Open queries stay. It tells whether there
+// is room.
+func (r *Recorder) fit(room int) bool {
+	most := r.cfg.Memory - room
+	for r.bytes > most && r.waiting.len() > 0 {
 		r.settleEarly(r.waiting.pop())
 	}
 	for level := range levels {
-		for r.bytes > r.cfg.Memory && r.degrade(level) {
+		for r.bytes > most && r.degrade(level) {
 		}
 	}
+	return r.bytes <= most
 }
 
 // settleEarly decides on a query before its time without making room again.
--- a/internal/tracing/recorder.go
+++ b/internal/tracing/recorder.go
@@ -124,11 +124,9 @@
 		return nil
 	}
 	r.tick(now)
-	if r.bytes+querySize > r.cfg.Memory {
-		if r.fit(); r.bytes+querySize > r.cfg.Memory {
-			r.lost[s.Class].Unrecorded++
-			return nil
-		}
+	if !r.fit(querySize + len(s.WireID) + len(s.Context.State)) {
+		r.lost[s.Class].Unrecorded++
+		return nil
 	}
 	c := &r.cfg.Classes[s.Class]
 	q := r.record()
@@ -250,7 +248,7 @@
 	q.where = isWaiting
 	q.due = max(now, min(q.Begin+r.cfg.Classes[q.Class].Deadline, now+maxWait))
 	r.waiting.push(q)
-	r.fit()
+	r.fit(0)
 }
 
 // settle decides on a query that has waited for a sign that it mattered.
@@ -276,7 +274,7 @@
 	r.unindex(q)
 	q.where = isKept
 	r.kept.push(q)
-	r.fit()
+	r.fit(0)
 }
 
 // unindex forgets where a query is found by its trace.
