Run the tests of the real program on internal/standin

Nodes, discovery, clients and the mixer as a process are a package of their own now, so that later work shares them; cmd/kiteloft keeps its assertions.

--- a/cmd/kiteloft/clients_test.go
+++ b/cmd/kiteloft/clients_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+
+	"kiteloft/internal/standin"
 )
 
 // request is a query in the platform's protocol, as bytes.
@@ -20,11 +22,11 @@
 		id, headers, len(body), body)
 }
 
-var lookup = query{class: "lookup", shards: []int{1, 2}}.body()
+var lookup = query{Class: "lookup", Shards: []int{1, 2}}.Body()
 
 func dial(t *testing.T, b *bed) *net.TCPConn {
 	t.Helper()
-	c, err := net.Dial("tcp", b.listen)
+	c, err := net.Dial("tcp", b.Listen())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -105,8 +107,8 @@
 		})
 	}
 	for _, p := range b.parts() {
-		if strings.HasPrefix(p.id, "b") && !strings.HasPrefix(p.id, "b8.") {
-			t.Errorf("a part of a malformed query reached a node: %s", p.id)
+		if strings.HasPrefix(p.ID, "b") && !strings.HasPrefix(p.ID, "b8.") {
+			t.Errorf("a part of a malformed query reached a node: %s", p.ID)
 		}
 	}
 }
@@ -153,9 +155,9 @@
 // on, and parts go to the other.
 func TestConnectsThatHang(t *testing.T) {
 	t.Parallel()
-	b := &bed{news: make(chan struct{}), changed: map[string]int{}, exit: make(chan error, 1)}
+	b := &bed{}
 	for i := range 2 {
-		b.nodes = append(b.nodes, &standIn{id: fmt.Sprintf("s-%d", i), do: sound})
+		b.nodes = append(b.nodes, standin.NewNode(fmt.Sprintf("s-%d", i), sound))
 	}
 	b.members = []member{
 		{ID: "s-0", HostPort: full(t), Locality: "a", Cell: 0, Phase: "active", Size: 1},
@@ -163,7 +165,7 @@
 	}
 	b.run(t, settings)
 	for range 5 {
-		if r := (platformWire{}).ask(t, b, query{class: "once", shards: []int{1}, deadline: 4 * time.Second}); r.kind != "served" {
+		if r := (platformWire{}).ask(t, b, query{Class: "once", Shards: []int{1}, Deadline: 4 * time.Second}); r.Kind != "served" {
 			t.Errorf("client got %+v", r)
 		}
 	}
@@ -202,12 +204,12 @@
 // get their answers, and the mixer ends by itself.
 func TestPlannedRestart(t *testing.T) {
 	t.Parallel()
-	b := start(t, platformWire{}, func(p part) reply { r := sound(p); r.after = 300 * time.Millisecond; return r })
+	b := start(t, platformWire{}, func(p part) reply { r := sound(p); r.After = 300 * time.Millisecond; return r })
 	before := dial(t, b)
 	_, _ = io.WriteString(before, request("a1", lookup, ""))
 	b.wait(t, "the query is with the nodes", func() bool { return len(b.parts()) > 0 })
 	told := time.Now()
-	if err := b.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+	if err := b.Cmd.Process.Signal(syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
 	time.Sleep(150 * time.Millisecond) // well within the time that the protocol names
@@ -237,7 +239,7 @@
 		t.Errorf("%d more requests served, until %v after SIGTERM", served, on)
 	}
 	select {
-	case err := <-b.exit:
+	case err := <-b.Exit:
 		if err != nil {
 			t.Errorf("the mixer ended with %v", err)
 		}
@@ -266,9 +268,7 @@
 	b := start(t, platformWire{}, sound)
 	deaf := make(chan struct{})
 	defer close(deaf)
-	b.mu.Lock()
-	b.deaf = deaf
-	b.mu.Unlock()
+	b.Deafen(deaf)
 	c := dial(t, b)
 	for i := range 3000 { // each is worth a line
 		_, _ = io.WriteString(c, request(fmt.Sprintf("a%d", i), "{", ""))
@@ -276,7 +276,7 @@
 			t.Fatal(diff)
 		}
 	}
-	if r := (platformWire{}).ask(t, b, query{class: "lookup", shards: []int{1}, deadline: 4 * time.Second}); r.kind != "served" {
+	if r := (platformWire{}).ask(t, b, query{Class: "lookup", Shards: []int{1}, Deadline: 4 * time.Second}); r.Kind != "served" {
 		t.Errorf("client got %+v", r)
 	}
 }
--- a/cmd/kiteloft/flows_test.go
+++ b/cmd/kiteloft/flows_test.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"testing"
 	"time"
+
+	"kiteloft/internal/standin"
 )
 
 // TestFlowsReachTheCollector reads the export as a collector does: by the
@@ -23,12 +25,12 @@
 		b, _ := io.ReadAll(c)
 		got <- b
 	}()
-	b := &bed{news: make(chan struct{}), changed: map[string]int{}, exit: make(chan error, 1), collector: ln.Addr().String()}
-	n := &standIn{id: "s-0", do: sound}
+	b := &bed{collector: ln.Addr().String()}
+	n := standin.NewNode("s-0", sound)
 	b.nodes = []*standIn{n}
-	b.members = []member{{ID: n.id, HostPort: platformWire{}.node(t, n), Locality: "a", Phase: "active", Size: 1}}
+	b.members = []member{{ID: n.ID, HostPort: platformWire{}.node(t, n), Locality: "a", Phase: "active", Size: 1}}
 	b.run(t, settings)
-	if r := (platformWire{}).ask(t, b, query{class: "lookup", shards: []int{1}, deadline: 4 * time.Second}); r.kind != "served" {
+	if r := (platformWire{}).ask(t, b, query{Class: "lookup", Shards: []int{1}, Deadline: 4 * time.Second}); r.Kind != "served" {
 		t.Fatalf("client got %+v", r)
 	}
 	b.stop(t)
@@ -38,7 +40,7 @@
 	case <-time.After(10 * time.Second):
 		t.Fatal("the export did not end")
 	}
-	_, port, _ := net.SplitHostPort(b.listen)
+	_, port, _ := net.SplitHostPort(b.Listen())
 	listens, _ := strconv.Atoi(port)
 	found := 0
 	for _, flow := range collect(t, text) {
--- a/cmd/kiteloft/links_test.go
+++ b/cmd/kiteloft/links_test.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"kiteloft/internal/standin"
 )
 
 // alone starts a mixer over one stock node, under changed settings.
@@ -22,10 +24,10 @@
 // any.
 func single(t *testing.T, do func(part) reply, sockets int, settings string) (*bed, *standIn) {
 	t.Helper()
-	b := &bed{news: make(chan struct{}), changed: map[string]int{}, exit: make(chan error, 1), sockets: sockets}
-	n := &standIn{id: "s-0", do: do}
+	b := &bed{sockets: sockets}
+	n := standin.NewNode("s-0", do)
 	b.nodes = []*standIn{n}
-	b.members = []member{{ID: n.id, HostPort: platformWire{}.node(t, n), Locality: "a", Phase: "active", Size: 1}}
+	b.members = []member{{ID: n.ID, HostPort: platformWire{}.node(t, n), Locality: "a", Phase: "active", Size: 1}}
 	b.run(t, settings)
 	return b, n
 }
@@ -34,13 +36,13 @@
 func (b *bed) leaves(t *testing.T, what string) {
 	t.Helper()
 	b.wait(t, what, func() bool {
-		before := len(b.nodes[0].parts())
+		before := len(b.nodes[0].Parts())
 		for range 6 {
-			if r := (platformWire{}).ask(t, b, query{class: "lookup", shards: []int{1}, deadline: 4 * time.Second}); r.kind != "served" {
+			if r := (platformWire{}).ask(t, b, query{Class: "lookup", Shards: []int{1}, Deadline: 4 * time.Second}); r.Kind != "served" {
 				t.Fatalf("client got %+v", r)
 			}
 		}
-		return len(b.nodes[0].parts()) == before
+		return len(b.nodes[0].Parts()) == before
 	})
 }
 
@@ -51,17 +53,17 @@
 	b, n := alone(t, sound, `"conn_idle":30`, `"conn_idle":4`)
 	ask := func() {
 		t.Helper()
-		if r := (platformWire{}).ask(t, b, query{class: "once", shards: []int{1}, deadline: 4 * time.Second}); r.kind != "served" {
+		if r := (platformWire{}).ask(t, b, query{Class: "once", Shards: []int{1}, Deadline: 4 * time.Second}); r.Kind != "served" {
 			t.Errorf("client got %+v", r)
 		}
 	}
 	ask()
-	b.wait(t, "the connection is closed", func() bool { _, went := n.connections(); return went == 1 })
-	if idle := n.went[0].Sub(n.parts()[0].at); idle >= 4*time.Second {
+	b.wait(t, "the connection is closed", func() bool { _, went := n.Connections(); return went == 1 })
+	if idle := n.Went[0].Sub(n.Parts()[0].At); idle >= 4*time.Second {
 		t.Errorf("closed after %v", idle)
 	}
 	ask()
-	if came, _ := n.connections(); came != 2 {
+	if came, _ := n.Connections(); came != 2 {
 		t.Errorf("%d connections", came)
 	}
 }
@@ -70,10 +72,10 @@
 func TestConnectionsCarryNoMoreThanTheirLimit(t *testing.T) {
 	t.Parallel()
 	b, n := alone(t, silent, `"streams_per_conn":32`, `"streams_per_conn":2`)
-	_ = (platformWire{}).ask(t, b, query{class: "lookup", shards: []int{0, 1, 2, 3, 4}, deadline: 500 * time.Millisecond})
-	b.wait(t, "all parts are with the node", func() bool { return len(n.parts()) >= 5 })
-	if came, _ := n.connections(); came != 3 || len(n.parts()) != 5 {
-		t.Errorf("%d parts on %d connections", len(n.parts()), came)
+	_ = (platformWire{}).ask(t, b, query{Class: "lookup", Shards: []int{0, 1, 2, 3, 4}, Deadline: 500 * time.Millisecond})
+	b.wait(t, "all parts are with the node", func() bool { return len(n.Parts()) >= 5 })
+	if came, _ := n.Connections(); came != 3 || len(n.Parts()) != 5 {
+		t.Errorf("%d parts on %d connections", len(n.Parts()), came)
 	}
 }
 
@@ -84,11 +86,11 @@
 	t.Parallel()
 	b, n := alone(t, silent, `"streams_per_conn":32`, `"streams_per_conn":2`)
 	for range 4 {
-		_ = (platformWire{}).ask(t, b, query{class: "lookup", shards: []int{1}, deadline: 120 * time.Millisecond})
+		_ = (platformWire{}).ask(t, b, query{Class: "lookup", Shards: []int{1}, Deadline: 120 * time.Millisecond})
 	}
 	on := map[int]int{}
-	for _, p := range n.parts() {
-		on[p.link]++
+	for _, p := range n.Parts() {
+		on[p.Link]++
 	}
 	for link, parts := range on {
 		if parts > 2 {
@@ -96,7 +98,7 @@
 		}
 	}
 	if len(on) < 2 {
-		t.Errorf("%d connections for %d parts: too few to show anything", len(on), len(n.parts()))
+		t.Errorf("%d connections for %d parts: too few to show anything", len(on), len(n.Parts()))
 	}
 }
 
@@ -106,18 +108,18 @@
 	t.Parallel()
 	var came atomic.Int32
 	dead := func(p part) reply { // the first connection to a node dies once copies come early
-		if p.node == "s-0" && p.link == 1 && came.Add(1) > 40 {
+		if p.Node == "s-0" && p.Link == 1 && came.Add(1) > 40 {
 			return reply{}
 		}
 		return sound(p)
 	}
 	b := start(t, platformWire{}, dead)
 	b.wait(t, "the node is asked on another connection", func() bool {
-		if r := (platformWire{}).ask(t, b, query{class: "lookup", shards: []int{1}, deadline: 4 * time.Second}); r.kind != "served" {
+		if r := (platformWire{}).ask(t, b, query{Class: "lookup", Shards: []int{1}, Deadline: 4 * time.Second}); r.Kind != "served" {
 			t.Fatalf("client got %+v", r)
 		}
-		for _, p := range b.nodes[0].parts() {
-			if p.link > 1 {
+		for _, p := range b.nodes[0].Parts() {
+			if p.Link > 1 {
 				return true
 			}
 		}
@@ -131,28 +133,24 @@
 	t.Parallel()
 	b := start(t, platformWire{}, sound)
 	for range 5 {
-		b.tell(1, "active")
+		b.Tell(1, "active")
 		time.Sleep(50 * time.Millisecond)
 	}
-	b.mu.Lock()
-	if len(b.asked) < 4 {
-		t.Errorf("%d calls for five pieces of news", len(b.asked))
+	asked, answered := b.Asked()
+	if len(asked) < 4 {
+		t.Errorf("%d calls for five pieces of news", len(asked))
 	}
-	for i, at := range b.asked[1:] {
+	for i, at := range asked[1:] {
 		// The protocol has 200 ms. What asks at once does so even on a busy machine
 		// within a second; what waits for the module's next call does not.
-		if gap := at.Sub(b.answered[i]); gap > time.Second {
+		if gap := at.Sub(answered[i]); gap > time.Second {
 			t.Errorf("call %d came %v after the last answer", i+1, gap)
 		}
 	}
-	calls := len(b.asked)
-	b.down = true
-	b.mu.Unlock()
-	b.tell(0, "left")
-	b.wait(t, "a call has failed", func() bool { b.mu.Lock(); defer b.mu.Unlock(); return len(b.asked) > calls })
-	b.mu.Lock()
-	b.down = false
-	b.mu.Unlock()
+	b.SetDown(true)
+	b.Tell(0, "left")
+	b.wait(t, "a call has failed", func() bool { now, _ := b.Asked(); return len(now) > len(asked) })
+	b.SetDown(false)
 	b.leaves(t, "the mixer hears that the node has left")
 }
 
@@ -162,10 +160,10 @@
 	t.Parallel()
 	b, n := single(t, sound, 0, settings)
 	ask := func() { // is served by the second holder at the latest
-		_ = (platformWire{}).ask(t, b, query{class: "lookup", shards: []int{1}, deadline: 2 * time.Second})
+		_ = (platformWire{}).ask(t, b, query{Class: "lookup", Shards: []int{1}, Deadline: 2 * time.Second})
 	}
 	descriptors := func() int {
-		list, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", b.cmd.Process.Pid))
+		list, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", b.Cmd.Process.Pid))
 		if err != nil {
 			t.Skip("no list of descriptors here")
 		}
@@ -174,14 +172,14 @@
 	ask()
 	before := descriptors()
 	for i := range 12 {
-		next := &standIn{id: fmt.Sprintf("t-%d", i), do: sound}
-		b.join(member{ID: next.id, HostPort: platformWire{}.node(t, next), Locality: "a", Phase: "active", Size: 1})
+		next := standin.NewNode(fmt.Sprintf("t-%d", i), sound)
+		b.Join(member{ID: next.ID, HostPort: platformWire{}.node(t, next), Locality: "a", Phase: "active", Size: 1})
 		if i%3 == 0 {
-			n.answers(silent)
+			n.Answers(silent)
 		}
-		b.tell(i, "leaving")
-		b.wait(t, "the new node is used", func() bool { ask(); return len(next.parts()) > 0 })
-		b.tell(i, "left")
+		b.Tell(i, "leaving")
+		b.wait(t, "the new node is used", func() bool { ask(); return len(next.Parts()) > 0 })
+		b.Tell(i, "left")
 		n = next
 	}
 	b.wait(t, "the connections of those that left are closed", func() bool { return descriptors() <= before+1 })
--- a/cmd/kiteloft/reload_test.go
+++ b/cmd/kiteloft/reload_test.go
@@ -11,44 +11,44 @@
 // the query is answered.
 func TestHangUpMovesDiscovery(t *testing.T) {
 	t.Parallel()
-	b := start(t, platformWire{}, first(func(p part) reply { r := sound(p); r.after = time.Second; return r })())
+	b := start(t, platformWire{}, first(func(p part) reply { r := sound(p); r.After = time.Second; return r })())
 	hangUp := func() {
 		t.Helper()
-		if err := b.cmd.Process.Signal(syscall.SIGHUP); err != nil {
+		if err := b.Cmd.Process.Signal(syscall.SIGHUP); err != nil {
 			t.Fatal(err)
 		}
 	}
 	open := make(chan result, 1)
 	go func() {
-		open <- (platformWire{}).ask(t, b, query{class: "lookup", shards: []int{1, 2}, deadline: 4 * time.Second})
+		open <- (platformWire{}).ask(t, b, query{Class: "lookup", Shards: []int{1, 2}, Deadline: 4 * time.Second})
 	}()
 	b.wait(t, "the query is with the nodes", func() bool { return len(b.parts()) > 0 })
 
-	b.configure("nowhere")
+	b.configure(t, "nowhere")
 	hangUp()
-	b.wait(t, "the fault is logged", func() bool { return b.logged("new configuration is faulty") == 1 })
+	b.wait(t, "the fault is logged", func() bool { return b.Logged("new configuration is faulty") == 1 })
 
 	for i := range 2 { // it may come again
-		next := b.directory(t)
-		b.configure(next)
+		next := b.Serve()
+		b.configure(t, next)
 		hangUp()
 		hangUp()
 		// The whole list, then a watch.
-		b.wait(t, "the new address is followed", func() bool { return b.called(next) >= 2 })
+		b.wait(t, "the new address is followed", func() bool { return b.Calls(next) >= 2 })
 		if i == 1 {
-			b.tell(0, "left")
-			b.wait(t, "the watch there goes on", func() bool { return b.called(next) >= 3 })
+			b.Tell(0, "left")
+			b.wait(t, "the watch there goes on", func() bool { return b.Calls(next) >= 3 })
 		}
 	}
-	if r := <-open; r.kind != "served" {
+	if r := <-open; r.Kind != "served" {
 		t.Errorf("client got %+v", r)
 	}
 	b.leaves(t, "what the new address tells counts")
-	if err := b.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+	if err := b.Cmd.Process.Signal(syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
 	hangUp() // meets the end
-	if err := <-b.exit; err != nil {
+	if err := <-b.Exit; err != nil {
 		t.Errorf("the mixer ended with %v", err)
 	}
 }
--- a/cmd/kiteloft/rude_test.go
+++ b/cmd/kiteloft/rude_test.go
@@ -124,7 +124,7 @@
 		if i%20 != 19 {
 			continue
 		}
-		usual, err := net.Dial("tcp", b.listen)
+		usual, err := net.Dial("tcp", b.Listen())
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/cmd/kiteloft/rules_test.go
+++ b/cmd/kiteloft/rules_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+
+	"kiteloft/internal/standin"
 )
 
 var wires = []struct {
@@ -22,13 +24,13 @@
 const busy = 2 * time.Second
 
 func silent(part) reply  { return reply{} }
-func failing(part) reply { return reply{end: 'E'} }
-func turning(part) reply { return reply{end: 'B'} }
+func failing(part) reply { return reply{End: 'E'} }
+func turning(part) reply { return reply{End: 'B'} }
 
 // only answers as do says for the parts of the shards, soundly for others.
 func only(do func(part) reply, shards ...int) func(part) reply {
 	return func(p part) reply {
-		if slices.Contains(shards, p.shard) {
+		if slices.Contains(shards, p.Shard) {
 			return do(p)
 		}
 		return sound(p)
@@ -53,78 +55,78 @@
 		check func(t *testing.T, b *bed, r result)
 	}{
 		{name: "one answer, whole", nodes: always(sound),
-			ask: query{class: "lookup", shards: []int{1, 2, 3}, deadline: 4 * time.Second}, want: []string{"served"},
+			ask: query{Class: "lookup", Shards: []int{1, 2, 3}, Deadline: 4 * time.Second}, want: []string{"served"},
 			check: func(t *testing.T, b *bed, r result) {
-				if diff := cmp.Diff(values(1, 2, 3), r.values); diff != "" || !r.entire {
-					t.Errorf("entire %v, values differ: %s", r.entire, diff)
+				if diff := cmp.Diff(values(1, 2, 3), r.Values); diff != "" || !r.Entire {
+					t.Errorf("entire %v, values differ: %s", r.Entire, diff)
 				}
 				for _, p := range b.parts() {
-					if p.text != "c41e77d0" || p.wait <= 0 || p.wait > 4*time.Second {
+					if p.Text != "c41e77d0" || p.Wait <= 0 || p.Wait > 4*time.Second {
 						t.Errorf("part came as %+v", p)
 					}
 				}
 			}},
 		{name: "one answer, before the deadline", nodes: always(silent),
-			ask: query{class: "lookup", shards: []int{1, 2}, deadline: 700 * time.Millisecond}, want: []string{"refused", "expired", "failed"},
+			ask: query{Class: "lookup", Shards: []int{1, 2}, Deadline: 700 * time.Millisecond}, want: []string{"refused", "expired", "failed"},
 			check: func(t *testing.T, b *bed, r result) {
-				b.wait(t, "the nodes are told to stop", func() bool { return b.nodes[0].givenUp()+b.nodes[1].givenUp() > 0 })
+				b.wait(t, "the nodes are told to stop", func() bool { return b.nodes[0].GivenUp()+b.nodes[1].GivenUp() > 0 })
 			}},
-		{name: "an error is tried elsewhere", ask: query{class: "lookup", shards: []int{4}, deadline: 4 * time.Second},
+		{name: "an error is tried elsewhere", ask: query{Class: "lookup", Shards: []int{4}, Deadline: 4 * time.Second},
 			nodes: first(failing), want: []string{"served"},
 			check: func(t *testing.T, b *bed, r result) { attempts(t, b, 2, 2) }},
-		{name: "a refusal by a node is tried elsewhere", ask: query{class: "once", shards: []int{4}, deadline: 4 * time.Second},
+		{name: "a refusal by a node is tried elsewhere", ask: query{Class: "once", Shards: []int{4}, Deadline: 4 * time.Second},
 			nodes: first(turning), want: []string{"served"},
 			check: func(t *testing.T, b *bed, r result) { attempts(t, b, 2, 2) }},
 		{name: "at most four attempts", nodes: always(failing),
-			ask: query{class: "lookup", shards: []int{5}, deadline: 3 * time.Second}, want: []string{"refused", "failed", "expired"},
+			ask: query{Class: "lookup", Shards: []int{5}, Deadline: 3 * time.Second}, want: []string{"refused", "failed", "expired"},
 			check: func(t *testing.T, b *bed, r result) {
 				attempts(t, b, 2, 4)
-				if r.kind == "refused" && r.after <= 0 {
+				if r.Kind == "refused" && r.After <= 0 {
 					t.Error("refused without a word on when to come back")
 				}
 			}},
 		{name: "once: nothing that may have run is sent again", nodes: always(failing),
-			ask: query{class: "once", shards: []int{5}, deadline: 3 * time.Second}, want: []string{"failed", "expired"},
+			ask: query{Class: "once", Shards: []int{5}, Deadline: 3 * time.Second}, want: []string{"failed", "expired"},
 			check: func(t *testing.T, b *bed, r result) { attempts(t, b, 1, 1) }},
-		{name: "once: a cut connection is not tried again", nodes: always(func(part) reply { return reply{end: 'c'} }),
-			ask: query{class: "once", shards: []int{5}, deadline: 3 * time.Second}, want: []string{"failed", "expired"},
+		{name: "once: a cut connection is not tried again", nodes: always(func(part) reply { return reply{End: 'c'} }),
+			ask: query{Class: "once", Shards: []int{5}, Deadline: 3 * time.Second}, want: []string{"failed", "expired"},
 			check: func(t *testing.T, b *bed, r result) { attempts(t, b, 1, 1) }},
 		{name: "keyed: repeats within its memory only, with its key", nodes: always(failing),
-			ask: query{class: "booking", key: "5c0f6e1a", shards: []int{3}, deadline: 3500 * time.Millisecond}, want: []string{"failed", "expired"},
+			ask: query{Class: "booking", Key: "5c0f6e1a", Shards: []int{3}, Deadline: 3500 * time.Millisecond}, want: []string{"failed", "expired"},
 			check: func(t *testing.T, b *bed, r result) {
 				attempts(t, b, 1, 4)
 				all := b.parts()
 				for _, p := range all {
-					if p.key != "5c0f6e1a" || p.at.Sub(all[0].at) > 1100*time.Millisecond {
-						t.Errorf("key %q, %v after the first", p.key, p.at.Sub(all[0].at))
+					if p.Key != "5c0f6e1a" || p.At.Sub(all[0].At) > 1100*time.Millisecond {
+						t.Errorf("key %q, %v after the first", p.Key, p.At.Sub(all[0].At))
 					}
 				}
 			}},
 		{name: "malformed queries reach nobody", nodes: always(sound),
-			ask: query{class: "booking", shards: []int{3}, deadline: time.Second}, want: []string{"malformed"},
+			ask: query{Class: "booking", Shards: []int{3}, Deadline: time.Second}, want: []string{"malformed"},
 			check: func(t *testing.T, b *bed, r result) { attempts(t, b, 0, 0) }},
 		{name: "honest: short answers are not marked whole", nodes: always(only(failing, 2)),
-			ask:  query{class: "partial", shards: []int{1, 2, 3, 4, 5}, deadline: 3 * time.Second},
+			ask:  query{Class: "partial", Shards: []int{1, 2, 3, 4, 5}, Deadline: 3 * time.Second},
 			want: []string{"served"},
 			check: func(t *testing.T, b *bed, r result) {
-				if diff := cmp.Diff(values(1, 3, 4, 5), r.values); diff != "" || r.entire {
-					t.Errorf("entire %v, values differ: %s", r.entire, diff)
+				if diff := cmp.Diff(values(1, 3, 4, 5), r.Values); diff != "" || r.Entire {
+					t.Errorf("entire %v, values differ: %s", r.Entire, diff)
 				}
 			}},
 		{name: "honest: nothing below the least share", nodes: always(only(failing, 1, 2)),
-			ask:  query{class: "partial", shards: []int{1, 2, 3, 4, 5}, deadline: 3 * time.Second},
+			ask:  query{Class: "partial", Shards: []int{1, 2, 3, 4, 5}, Deadline: 3 * time.Second},
 			want: []string{"refused", "failed", "expired"}},
 		{name: "the second step goes to the highest scores", nodes: always(sound),
-			ask: query{class: "report", shards: []int{1, 2, 3, 4}, deadline: 6 * time.Second}, want: []string{"served"},
+			ask: query{Class: "report", Shards: []int{1, 2, 3, 4}, Deadline: 6 * time.Second}, want: []string{"served"},
 			check: func(t *testing.T, b *bed, r result) {
-				if diff := cmp.Diff(values(3, 4), r.values); diff != "" || !r.entire {
-					t.Errorf("entire %v, values differ: %s", r.entire, diff)
+				if diff := cmp.Diff(values(3, 4), r.Values); diff != "" || !r.Entire {
+					t.Errorf("entire %v, values differ: %s", r.Entire, diff)
 				}
 				second := 0
 				for _, p := range b.parts() {
-					if p.second {
+					if p.Second {
 						second++
-						if p.from != "1+2+3+4" || !p.whole || !strings.HasSuffix(p.id, ".phase2") {
+						if p.From != "1+2+3+4" || !p.Whole || !strings.HasSuffix(p.ID, ".phase2") {
 							t.Errorf("second step's part came as %+v", p)
 						}
 					}
@@ -134,15 +136,15 @@
 				}
 			}},
 		{name: "a late part is copied once and its twin called off", nodes: first(silent),
-			ask: query{class: "lookup", shards: []int{6}, deadline: 4 * time.Second}, want: []string{"served"},
+			ask: query{Class: "lookup", Shards: []int{6}, Deadline: 4 * time.Second}, want: []string{"served"},
 			check: func(t *testing.T, b *bed, r result) {
 				attempts(t, b, 2, 2)
-				b.wait(t, "the twin is called off", func() bool { return b.nodes[0].givenUp()+b.nodes[1].givenUp() == 1 })
+				b.wait(t, "the twin is called off", func() bool { return b.nodes[0].GivenUp()+b.nodes[1].GivenUp() == 1 })
 			}},
 		{name: "a client that leaves is forgotten", nodes: always(silent),
-			ask: query{class: "lookup", shards: []int{6}, deadline: 4 * time.Second, gone: 500 * time.Millisecond}, want: []string{"cancelled"},
+			ask: query{Class: "lookup", Shards: []int{6}, Deadline: 4 * time.Second, Gone: 500 * time.Millisecond}, want: []string{"cancelled"},
 			check: func(t *testing.T, b *bed, r result) {
-				b.wait(t, "the node is told to stop", func() bool { return b.nodes[0].givenUp()+b.nodes[1].givenUp() > 0 })
+				b.wait(t, "the node is told to stop", func() bool { return b.nodes[0].GivenUp()+b.nodes[1].GivenUp() > 0 })
 				attempts(t, b, 1, 1)
 			}},
 	}
@@ -152,11 +154,11 @@
 				t.Parallel()
 				b := start(t, w, rule.nodes())
 				r := w.ask(t, b, rule.ask)
-				if !slices.Contains(rule.want, r.kind) {
+				if !slices.Contains(rule.want, r.Kind) {
 					t.Fatalf("client got %+v, want one of %v", r, rule.want)
 				}
-				if r.took >= rule.ask.deadline+busy {
-					t.Errorf("answered after %v, asked to within %v", r.took, rule.ask.deadline)
+				if r.Took >= rule.ask.Deadline+busy {
+					t.Errorf("answered after %v, asked to within %v", r.Took, rule.ask.Deadline)
 				}
 				if rule.check != nil {
 					rule.check(t, b, r)
@@ -200,20 +202,20 @@
 				b := start(t, w, sound)
 				ask := func() {
 					t.Helper()
-					if r := w.ask(t, b, query{class: "lookup", shards: []int{1, 2}, deadline: 4 * time.Second}); r.kind != "served" {
+					if r := w.ask(t, b, query{Class: "lookup", Shards: []int{1, 2}, Deadline: 4 * time.Second}); r.Kind != "served" {
 						t.Fatalf("client got %+v", r)
 					}
 				}
 				for i := range b.nodes {
-					b.wait(t, "both nodes are used", func() bool { ask(); return len(b.nodes[i].parts()) > 0 })
+					b.wait(t, "both nodes are used", func() bool { ask(); return len(b.nodes[i].Parts()) > 0 })
 				}
-				b.tell(0, phase)
+				b.Tell(0, phase)
 				told := time.Now()
 				for time.Since(told) < 2500*time.Millisecond {
 					ask()
 				}
-				for _, p := range b.nodes[0].parts() {
-					if late := p.at.Sub(told); late > 2*time.Second {
+				for _, p := range b.nodes[0].Parts() {
+					if late := p.At.Sub(told); late > 2*time.Second {
 						t.Errorf("a part came %v after it was told", late)
 					}
 				}
@@ -228,16 +230,16 @@
 	for _, w := range wires {
 		t.Run(w.name, func(t *testing.T) {
 			t.Parallel()
-			cut := func(p part) reply { r := sound(p); r.end = 'c'; return r }
+			cut := func(p part) reply { r := sound(p); r.End = 'c'; return r }
 			b := start(t, w, only(cut, 2))
-			r := w.ask(t, b, query{class: "partial", shards: []int{2}, deadline: 2 * time.Second})
-			if r.kind == "served" {
+			r := w.ask(t, b, query{Class: "partial", Shards: []int{2}, Deadline: 2 * time.Second})
+			if r.Kind == "served" {
 				t.Fatalf("client got %+v from a part that was cut", r)
 			}
 			attempts(t, b, 2, 4)
-			b.nodes[0].answers(sound)
-			b.nodes[1].answers(sound)
-			if r := w.ask(t, b, query{class: "partial", shards: []int{1, 2}, deadline: 3 * time.Second}); r.kind != "served" || !r.entire {
+			b.nodes[0].Answers(sound)
+			b.nodes[1].Answers(sound)
+			if r := w.ask(t, b, query{Class: "partial", Shards: []int{1, 2}, Deadline: 3 * time.Second}); r.Kind != "served" || !r.Entire {
 				t.Errorf("client got %+v once the nodes were sound", r)
 			}
 		})
@@ -247,33 +249,33 @@
 // TestBothFrontsAtOnce has one client ask on both fronts, over nodes of both
 // protocols; no id may serve two queries.
 func TestBothFrontsAtOnce(t *testing.T) {
-	b := &bed{news: make(chan struct{}), changed: map[string]int{}, exit: make(chan error, 1)}
-	slow := func(p part) reply { r := sound(p); r.after = 50 * time.Millisecond; return r }
+	b := &bed{}
+	slow := func(p part) reply { r := sound(p); r.After = 50 * time.Millisecond; return r }
 	for i, w := range wires {
-		n := &standIn{id: fmt.Sprintf("s-%d", i), do: slow}
+		n := standin.NewNode(fmt.Sprintf("s-%d", i), slow)
 		b.nodes = append(b.nodes, n)
-		b.members = append(b.members, member{ID: n.id, HostPort: w.node(t, n), Locality: "a", Cell: i, Phase: "active", Size: 1})
+		b.members = append(b.members, member{ID: n.ID, HostPort: w.node(t, n), Locality: "a", Cell: i, Phase: "active", Size: 1})
 	}
 	b.run(t, settings)
 	var wg sync.WaitGroup
 	results := make([]result, 16)
 	for i := range results {
 		wg.Go(func() {
-			results[i] = wires[i%2].ask(t, b, query{class: "booking", key: "same", shards: []int{3}, deadline: 4 * time.Second})
+			results[i] = wires[i%2].ask(t, b, query{Class: "booking", Key: "same", Shards: []int{3}, Deadline: 4 * time.Second})
 		})
 	}
 	wg.Wait()
 	for i, r := range results {
-		r.took = 0
-		if diff := cmp.Diff(result{kind: "served", entire: true, values: values(3)}, r, cmp.AllowUnexported(result{})); diff != "" {
+		r.Took = 0
+		if diff := cmp.Diff(result{Kind: "served", Entire: true, Values: values(3)}, r); diff != "" {
 			t.Errorf("client %d: %s", i, diff)
 		}
 	}
 	ids := map[string]int{}
 	for _, p := range b.parts() {
-		ids[p.id]++
-		if ids[p.id] > 2 { // one copy at the most
-			t.Errorf("id %s came %d times", p.id, ids[p.id])
+		ids[p.ID]++
+		if ids[p.ID] > 2 { // one copy at the most
+			t.Errorf("id %s came %d times", p.ID, ids[p.ID])
 		}
 	}
 	if len(ids) != len(results) {
--- a/cmd/kiteloft/spoilt_test.go
+++ b/cmd/kiteloft/spoilt_test.go
@@ -19,7 +19,7 @@
 const idOf = "0123456789abcdef.1"
 
 func raw(text string) func(part) reply {
-	return func(part) reply { return reply{end: 'r', value: text} }
+	return func(part) reply { return reply{End: 'r', Value: text} }
 }
 
 // TestSpoiltAnswers has nodes answer with what can't be used. The part may have
@@ -43,22 +43,22 @@
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
 			b := start(t, platformWire{}, first(raw(tt.text))())
-			r := (platformWire{}).ask(t, b, query{class: "lookup", shards: []int{1}, deadline: 4 * time.Second})
-			if diff := cmp.Diff(values(1), r.values); diff != "" || r.kind != "served" {
+			r := (platformWire{}).ask(t, b, query{Class: "lookup", Shards: []int{1}, Deadline: 4 * time.Second})
+			if diff := cmp.Diff(values(1), r.Values); diff != "" || r.Kind != "served" {
 				t.Errorf("client got %+v: %s", r, diff)
 			}
 			attempts(t, b, 2, 2)
 			for _, n := range b.nodes {
-				n.answers(raw(tt.text))
+				n.Answers(raw(tt.text))
 			}
-			if r := (platformWire{}).ask(t, b, query{class: "once", shards: []int{1}, deadline: 3 * time.Second}); r.kind != "failed" {
+			if r := (platformWire{}).ask(t, b, query{Class: "once", Shards: []int{1}, Deadline: 3 * time.Second}); r.Kind != "failed" {
 				t.Errorf("a client whose part may have run got %+v", r)
 			}
 			attempts(t, b, 3, 3)
 			b.wait(t, "spoilt connections are closed", func() bool {
 				came, went := 0, 0
 				for _, n := range b.nodes {
-					c, w := n.connections()
+					c, w := n.Connections()
 					came, went = came+c, went+w
 				}
 				return went >= 2 && came-went <= 1
@@ -85,16 +85,16 @@
 			t.Parallel()
 			b, n := single(t, raw(tt.text), 0, settings)
 			for i := range 2 {
-				r := (platformWire{}).ask(t, b, query{class: "once", shards: []int{1}, deadline: 4 * time.Second})
-				if diff := cmp.Diff(values(1), r.values); diff != "" || r.kind != "served" {
+				r := (platformWire{}).ask(t, b, query{Class: "once", Shards: []int{1}, Deadline: 4 * time.Second})
+				if diff := cmp.Diff(values(1), r.Values); diff != "" || r.Kind != "served" {
 					t.Errorf("client got %+v: %s", r, diff)
 				}
 				attempts(t, b, i+1, i+1)
 				if tt.conns > 1 {
-					b.wait(t, "the connection is closed", func() bool { _, went := n.connections(); return went == i+1 })
+					b.wait(t, "the connection is closed", func() bool { _, went := n.Connections(); return went == i+1 })
 				}
 			}
-			if came, _ := n.connections(); came != tt.conns {
+			if came, _ := n.Connections(); came != tt.conns {
 				t.Errorf("%d connections, want %d", came, tt.conns)
 			}
 		})
@@ -106,19 +106,19 @@
 func TestADeadConnectionIsLeft(t *testing.T) {
 	t.Parallel()
 	b, n := single(t, silent, 0, settings)
-	n.answers(func(p part) reply {
-		if len(n.came) < 2 { // the list is held while it is asked
+	n.Answers(func(p part) reply {
+		if len(n.Came) < 2 { // the list is held while it is asked
 			return reply{}
 		}
 		return sound(p)
 	})
 	for range 3 {
-		_ = (platformWire{}).ask(t, b, query{class: "lookup", shards: []int{1}, deadline: 700 * time.Millisecond})
+		_ = (platformWire{}).ask(t, b, query{Class: "lookup", Shards: []int{1}, Deadline: 700 * time.Millisecond})
 	}
 	b.wait(t, "a client is served over a new connection", func() bool {
-		return (platformWire{}).ask(t, b, query{class: "lookup", shards: []int{1}, deadline: 700 * time.Millisecond}).kind == "served"
+		return (platformWire{}).ask(t, b, query{Class: "lookup", Shards: []int{1}, Deadline: 700 * time.Millisecond}).Kind == "served"
 	})
-	if came, _ := n.connections(); came > 5 {
+	if came, _ := n.Connections(); came > 5 {
 		t.Errorf("%d connections", came)
 	}
 }
