Add loft, the operators' tool, with list, show, slowest, nodes and report of traces

It reads segment files, also cut or corrupt ones as far as they go (exit code 3), draws a query's waterfall and critical path, sums up which node, zone, cause or class cost the time over wanted, and writes one HTML page with plots. Its plot library stays out of the mixer. make measure-traces compares the real program's CPU and memory with traces off and on.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test race lint run fuzz bench
+.PHONY: build test race lint run fuzz bench measure-traces
 
 build:
 	mkdir -p bin && go build -o bin/ ./cmd/...
@@ -28,3 +28,8 @@
 # What a query costs in the core and in the platform's front, without sockets.
 bench:
 	go test ./bench -run '^$$' -bench . -benchtime 2s
+
+# What traces cost the real program, off and on in turn; about three minutes, on a
+# machine with nothing else to do.
+measure-traces:
+	KITELOFT_MEASURE=1 go test ./bench -run TestProcessCost -v -count 1 -timeout 20m
--- /dev/null
+++ b/bench/process_test.go
@@ -0,0 +1,153 @@
+package bench
+
+import (
+	"fmt"
+	"math"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"kiteloft/internal/standin"
+)
+
+// Figures of TestProcessCost: long, so it runs only by its make target.
+const (
+	costRate   = 150 // queries a second
+	costTime   = 8 * time.Second
+	costRounds = 5
+	costParts  = 5
+)
+
+// TestProcessCost measures what a query costs the real program, with traces off and
+// on in turn: CPU by the kernel's count, and resident memory.
+func TestProcessCost(t *testing.T) {
+	if os.Getenv("KITELOFT_MEASURE") == "" {
+		t.Skip("a measurement: make measure-traces")
+	}
+	program := filepath.Join(t.TempDir(), "kiteloft")
+	if out, err := exec.Command("go", "build", "-o", program, "../cmd/kiteloft").CombinedOutput(); err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	var members []standin.Member
+	for i := range nodeCount {
+		n := standin.NewNode(fmt.Sprintf("s-%02d", i), func(p standin.Part) standin.Reply {
+			r := standin.Sound(p)
+			r.After = 3 * time.Millisecond
+			return r
+		})
+		n.Forgets = true
+		addr, err := n.ServeFrames()
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(n.Close)
+		members = append(members, standin.Member{ID: n.ID, HostPort: addr, Locality: "a", Cell: i, Phase: "active", Size: 1})
+	}
+	type cost struct{ cpu, memory float64 }
+	sums := map[bool][]cost{}
+	for round := range 2 * costRounds {
+		on := round%2 == 1
+		cpu, memory := measure(t, program, members, on)
+		sums[on] = append(sums[on], cost{cpu, memory})
+		t.Logf("traces %v: %.0f us of CPU a query, %.1f MB resident", on, cpu, memory)
+	}
+	median := func(list []cost, of func(cost) float64) float64 {
+		var v []float64
+		for _, c := range list {
+			v = append(v, of(c))
+		}
+		slices.Sort(v)
+		return v[len(v)/2]
+	}
+	cpu, memory := func(c cost) float64 { return c.cpu }, func(c cost) float64 { return c.memory }
+	off, on := median(sums[false], cpu), median(sums[true], cpu)
+	t.Logf("median of %d rounds, %d queries a second of %d parts, %v: off %.0f us and %.1f MB, on %.0f us and %.1f MB: %+.1f%%, %+.1f MB", costRounds,
+		costRate, costParts, costTime, off, median(sums[false], memory), on, median(sums[true], memory), 100*(on/off-1),
+		median(sums[true], memory)-median(sums[false], memory))
+}
+
+func measure(t *testing.T, program string, members []standin.Member, traced bool) (cpu, memory float64) {
+	t.Helper()
+	dir := standin.NewDirectory(members...)
+	defer dir.Close()
+	s := standin.Setup{Program: program, Dir: t.TempDir(), Settings: text, Discovery: dir.Serve(), Known: members}
+	if traced {
+		s.Broker = "[tracing]\ndirectory = \"" + filepath.Join(s.Dir, "traces") + "\"\n"
+	}
+	m, err := standin.Start(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 200}}
+	ask := func(n int) {
+		var wg sync.WaitGroup
+		pace := time.NewTicker(time.Second / costRate)
+		defer pace.Stop()
+		for i := range n {
+			<-pace.C
+			wg.Go(func() {
+				var shards []int
+				for k := range costParts {
+					shards = append(shards, (i+k)%24)
+				}
+				if _, err := standin.Ask(client, m.Listen(), standin.Query{Class: "lookup", Shards: shards, Deadline: 4 * time.Second, Filter: fmt.Sprintf("%08x", i)}); err != nil {
+					t.Error(err)
+				}
+			})
+		}
+		wg.Wait()
+	}
+	ask(2 * costRate) // connections are up, sketches are filled
+	before := cpuTime(t, m.Cmd.Process.Pid)
+	n := int(costRate * costTime.Seconds())
+	ask(n)
+	cpu = float64((cpuTime(t, m.Cmd.Process.Pid) - before).Microseconds()) / float64(n)
+	memory = resident(t, m.Cmd.Process.Pid)
+	client.CloseIdleConnections()
+	if err := m.Stop(); err != nil {
+		t.Error(err)
+	}
+	return cpu, memory
+}
+
+// cpuTime is the CPU that a process has used, by /proc/PID/schedstat: in ns, where
+// stat counts ticks of 10 ms. Each thread has its own.
+func cpuTime(t *testing.T, pid int) (sum time.Duration) {
+	t.Helper()
+	list, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", pid))
+	if err != nil || len(list) == 0 {
+		t.Skip("no count of CPU here")
+	}
+	for _, path := range list {
+		b, err := os.ReadFile(path)
+		if err != nil {
+			continue // the thread has ended
+		}
+		ns, _ := strconv.ParseInt(strings.Fields(string(b))[0], 10, 64)
+		sum += time.Duration(ns)
+	}
+	return sum
+}
+
+// resident is the memory that a process holds, in MB.
+func resident(t *testing.T, pid int) float64 {
+	t.Helper()
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		t.Skip("no count of memory here")
+	}
+	for line := range strings.Lines(string(b)) {
+		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+			kb, _ := strconv.ParseFloat(strings.Fields(rest)[0], 64)
+			return math.Round(kb/102.4) / 10
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/cmd/loft/main.go
@@ -0,0 +1,76 @@
+// Command loft is the operators' tool: it reads what mixers leave behind and says
+// where the time went.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/alecthomas/kong"
+	"github.com/willabides/kongplete"
+)
+
+// Exit codes.
+const (
+	exitFound   = 0
+	exitNothing = 1 // nothing fits what was asked for
+	exitUsage   = 2
+	exitDamaged = 3 // a file is cut or corrupt; what could be read was shown
+)
+
+var errNothing = errors.New("nothing fits")
+
+// cli is the command line.
+type cli struct {
+	Trace struct {
+		List    listCmd    `cmd:"" help:"List traces, one a line."`
+		Show    showCmd    `cmd:"" help:"Show a trace as a waterfall, with its critical path."`
+		Slowest slowestCmd `cmd:"" help:"List the queries that were furthest over their wanted time."`
+		Nodes   nodesCmd   `cmd:"" help:"Say which node, zone, cause or class cost how much of the time over wanted."`
+		Report  reportCmd  `cmd:"" help:"Write one self-contained HTML page with plots."`
+	} `cmd:"" help:"Read traces from segment files."`
+	Completions kongplete.InstallCompletions `cmd:"" help:"Print or install the shell's completions."`
+}
+
+func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
+
+// run is the program; it returns its exit code.
+func run(args []string, out, errOut io.Writer) (code int) {
+	var c cli
+	ended := -1
+	parser, err := kong.New(&c, kong.Name("loft"), kong.Description("The operators' tool beside the mixers."),
+		kong.Writers(out, errOut), kong.Exit(func(n int) { ended = n }), kong.ConfigureHelp(kong.HelpOptions{Compact: true}))
+	if err != nil {
+		fmt.Fprintln(errOut, "loft:", err)
+		return exitUsage
+	}
+	kongplete.Complete(parser, kongplete.WithPredictor("dir", dirs{}))
+	ctx, err := parser.Parse(args)
+	if ended >= 0 { // help was asked for
+		return ended
+	}
+	if err != nil {
+		fmt.Fprintln(errOut, "loft:", err)
+		fmt.Fprintln(errOut, "try: loft --help")
+		return exitUsage
+	}
+	ctx.BindTo(out, (*io.Writer)(nil))
+	err = ctx.Run()
+	var damage *damaged
+	switch {
+	case err == nil:
+		return exitFound
+	case errors.Is(err, errNothing):
+		fmt.Fprintln(errOut, "loft:", err)
+		return exitNothing
+	case errors.As(err, &damage):
+		for _, d := range damage.list {
+			fmt.Fprintln(errOut, "loft:", d)
+		}
+		return exitDamaged
+	}
+	fmt.Fprintln(errOut, "loft:", err)
+	return exitUsage
+}
--- /dev/null
+++ b/cmd/loft/report.go
@@ -0,0 +1,298 @@
+package main
+
+import (
+	"bytes"
+	"cmp"
+	"fmt"
+	"html/template"
+	"image/color"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+
+	"kiteloft/internal/otlp"
+	"kiteloft/internal/tracing"
+)
+
+const (
+	plotWidth  = 22 * vg.Centimeter
+	plotHeight = 9 * vg.Centimeter
+	mostBars   = 14 // nodes in a plot
+)
+
+type reportCmd struct {
+	source
+	Out     string `short:"o" default:"traces.html" type:"path" help:"The page's file."`
+	Slowest int    `default:"15" help:"How many of the slowest queries are shown whole."`
+}
+
+// page is what the template fills in.
+type page struct {
+	From, To string
+	Queries  int
+	Standing string // how many queries they stand for
+	Ended    []count
+	Kept     []count
+	Plots    []figure
+	Tables   []costTable
+	Slowest  []slow
+	Lost     string
+	Damage   string
+}
+
+type count struct {
+	Name string
+	N    int
+}
+
+type figure struct {
+	Title string
+	SVG   template.HTML // drawn by the plot library from numbers and escaped names
+}
+
+type costTable struct {
+	By   string
+	Rows []costRow
+}
+
+type costRow struct{ Name, Over, Share, Queries, Attempts, Failed, P50, P99 string }
+
+type slow struct{ Title, Waterfall string }
+
+// Run writes the page.
+func (c *reportCmd) Run(out io.Writer) error {
+	f, err := c.read()
+	if err != nil {
+		return err
+	}
+	if len(f.traces) == 0 {
+		return cmp.Or(f.damage, errNothing)
+	}
+	p, err := makePage(f, c.Slowest)
+	if err != nil {
+		return err
+	}
+	var b bytes.Buffer
+	if err := pageTemplate.Execute(&b, p); err != nil {
+		return err
+	}
+	// Whole or not at all: a page that is cut would pass for one without slow queries.
+	tmp, err := os.CreateTemp(filepath.Dir(c.Out), ".loft-*")
+	if err != nil {
+		return err
+	}
+	_, err = tmp.Write(b.Bytes())
+	if err = cmp.Or(err, tmp.Close(), os.Chmod(tmp.Name(), 0o644)); err == nil {
+		err = os.Rename(tmp.Name(), c.Out)
+	}
+	if err != nil {
+		_ = os.Remove(tmp.Name())
+		return err
+	}
+	fmt.Fprintf(out, "%s: %d queries\n", c.Out, len(f.traces))
+	return f.damage
+}
+
+func makePage(f found, slowest int) (*page, error) {
+	list := f.traces
+	stands := 0.0
+	hows, kept := map[string]int{}, map[string]int{}
+	for _, t := range list {
+		stands += t.Weight
+		hows[otlp.HowName(t.How)]++
+		names := otlp.KeepNames(t.Keep)
+		if len(names) == 0 {
+			kept["chance"]++
+		}
+		for _, n := range names {
+			kept[n]++
+		}
+	}
+	p := &page{From: list[0].At.UTC().Format(time.DateTime), To: list[len(list)-1].At.UTC().Format(time.DateTime), Queries: len(list),
+		Standing: fmt.Sprintf("%.0f", stands), Ended: counts(hows), Kept: counts(kept)}
+	for _, by := range []string{"node", "zone", "cause", "class"} {
+		p.Tables = append(p.Tables, tableOf(list, by))
+	}
+	for _, draw := range []func([]*otlp.Trace) (figure, error){timeline, overByNode, timesByNode} {
+		fig, err := draw(list)
+		if err != nil {
+			return nil, fmt.Errorf("plotting: %w", err)
+		}
+		p.Plots = append(p.Plots, fig)
+	}
+	bad := slices.Clone(list)
+	slices.SortStableFunc(bad, bySlowness)
+	for _, t := range bad[:min(len(bad), slowest)] {
+		var b strings.Builder
+		waterfall(&b, t, 80)
+		p.Slowest = append(p.Slowest, slow{fmt.Sprintf("%s over, %s: %s, %s", span(over(t)), t.Class, costMost(t), t.Query.Trace), b.String()})
+	}
+	var lost strings.Builder
+	saidLost(&lost, f)
+	p.Lost = lost.String()
+	if d, ok := f.damage.(*damaged); ok {
+		for _, x := range d.list {
+			p.Damage += x.Error() + "\n"
+		}
+	}
+	return p, nil
+}
+
+func counts(m map[string]int) (list []count) {
+	for name, n := range m {
+		list = append(list, count{name, n})
+	}
+	slices.SortFunc(list, func(a, b count) int { return cmp.Or(cmp.Compare(b.N, a.N), cmp.Compare(a.Name, b.Name)) })
+	return list
+}
+
+func tableOf(list []*otlp.Trace, by string) costTable {
+	rows, total := costs(list, by)
+	t := costTable{By: by}
+	for _, r := range rows {
+		share := 0.0
+		if total > 0 {
+			share = 100 * float64(r.over) / float64(total)
+		}
+		t.Rows = append(t.Rows, costRow{r.name, span(r.over), fmt.Sprintf("%.1f%%", share), fmt.Sprint(r.queries), fmt.Sprint(r.attempts),
+			fmt.Sprint(r.wrong), r.quantile(0.5), r.quantile(0.99)})
+	}
+	return t
+}
+
+var (
+	grey = color.NRGBA{R: 0x80, G: 0x88, B: 0x90, A: 0x90}
+	red  = color.NRGBA{R: 0xc0, G: 0x30, B: 0x28, A: 0xd0}
+)
+
+// timeline is each query's time, by when it began.
+func timeline(list []*otlp.Trace) (figure, error) {
+	p := plot.New()
+	p.X.Label.Text, p.Y.Label.Text = "seconds from the first", "ms"
+	var good, bad plotter.XYs
+	for _, t := range list {
+		xy := plotter.XY{X: t.At.Sub(list[0].At).Seconds(), Y: float64(t.End) / 1e6}
+		if over(t) > 0 || t.Keep&tracing.NotServed != 0 {
+			bad = append(bad, xy)
+		} else {
+			good = append(good, xy)
+		}
+	}
+	for _, set := range []struct {
+		name string
+		xys  plotter.XYs
+		c    color.Color
+	}{{"in time", good, grey}, {"over wanted, or not served", bad, red}} {
+		if len(set.xys) == 0 {
+			continue
+		}
+		s, err := plotter.NewScatter(set.xys)
+		if err != nil {
+			return figure{}, err
+		}
+		s.Color, s.Radius = set.c, vg.Points(1.6)
+		p.Add(s)
+		p.Legend.Add(set.name, s)
+	}
+	p.Legend.Top = true
+	p.Add(plotter.NewGrid())
+	return svg("How long queries took", p)
+}
+
+// overByNode is the time over wanted that each node is charged for.
+func overByNode(list []*otlp.Trace) (figure, error) {
+	rows, _ := costs(list, "node")
+	p := plot.New()
+	p.Y.Label.Text = "seconds over wanted"
+	var values plotter.Values
+	var names []string
+	for _, r := range rows[:min(len(rows), mostBars)] {
+		values, names = append(values, r.over.Seconds()), append(names, r.name)
+	}
+	if len(values) > 0 {
+		bars, err := plotter.NewBarChart(values, vg.Points(18))
+		if err != nil {
+			return figure{}, err
+		}
+		bars.Color = red
+		p.Add(bars)
+		p.NominalX(names...)
+	}
+	return svg("Time over wanted, by node", p)
+}
+
+// timesByNode is how long answered attempts took at each node.
+func timesByNode(list []*otlp.Trace) (figure, error) {
+	times := map[string]plotter.Values{}
+	for _, t := range list {
+		for i := range t.Attempts {
+			if a := &t.Attempts[i]; a.Over && otlp.OutcomeName(a.Outcome) == "ok" {
+				times[a.Node] = append(times[a.Node], float64(a.End-a.Begin)/1e6)
+			}
+		}
+	}
+	rows, _ := costs(list, "node")
+	p := plot.New()
+	p.Y.Label.Text = "ms, answered attempts"
+	var names []string
+	for _, r := range rows {
+		if len(times[r.name]) == 0 || len(names) == mostBars {
+			continue
+		}
+		box, err := plotter.NewBoxPlot(vg.Points(16), float64(len(names)), times[r.name])
+		if err != nil {
+			return figure{}, err
+		}
+		p.Add(box)
+		names = append(names, r.name)
+	}
+	if len(names) > 0 {
+		p.NominalX(names...)
+	}
+	return svg("How long nodes took to answer", p)
+}
+
+func svg(title string, p *plot.Plot) (figure, error) {
+	w, err := p.WriterTo(plotWidth, plotHeight, "svg")
+	if err != nil {
+		return figure{}, err
+	}
+	var b bytes.Buffer
+	if _, err := w.WriteTo(&b); err != nil {
+		return figure{}, err
+	}
+	s := b.String()
+	if i := strings.Index(s, "<svg"); i > 0 { // without the head of a file of its own
+		s = s[i:]
+	}
+	return figure{title, template.HTML(s)}, nil
+}
+
+var pageTemplate = template.Must(template.New("page").Parse(`<!doctype html>
+<html lang="en"><head><meta charset="utf-8"><title>Traces {{.From}}</title><style>
+body{font:14px/1.45 system-ui,sans-serif;margin:2em auto;max-width:70em;color:#222}
+table{border-collapse:collapse;margin:.5em 0 1.5em}td,th{padding:.15em .8em;text-align:right;border-bottom:1px solid #ddd}
+td:first-child,th:first-child{text-align:left}pre{overflow-x:auto;background:#f6f6f4;padding:.6em;font-size:12px}
+summary{cursor:pointer;margin:.3em 0}.warn{color:#a02018;white-space:pre-line}svg{max-width:100%;height:auto}
+</style></head><body>
+<h1>Traces from {{.From}} to {{.To}} (UTC)</h1>
+<p>{{.Queries}} queries, which stand for {{.Standing}}.
+Ended: {{range $i,$c := .Ended}}{{if $i}}, {{end}}{{$c.N}} {{$c.Name}}{{end}}.
+Kept for: {{range $i,$c := .Kept}}{{if $i}}, {{end}}{{$c.N}} {{$c.Name}}{{end}}.</p>
+{{with .Lost}}<p class="warn">{{.}}</p>{{end}}{{with .Damage}}<p class="warn">{{.}}</p>{{end}}
+{{range .Plots}}<h2>{{.Title}}</h2>{{.SVG}}{{end}}
+<h2>What the time over wanted went to</h2>
+{{range .Tables}}<table><tr><th>{{.By}}</th><th>over</th><th>share</th><th>queries</th><th>attempts</th><th>failed</th><th>p50</th><th>p99</th></tr>
+{{range .Rows}}<tr><td>{{.Name}}</td><td>{{.Over}}</td><td>{{.Share}}</td><td>{{.Queries}}</td><td>{{.Attempts}}</td><td>{{.Failed}}</td><td>{{.P50}}</td><td>{{.P99}}</td></tr>
+{{end}}</table>{{end}}
+<h2>The slowest</h2>
+{{range .Slowest}}<details><summary>{{.Title}}</summary><pre>{{.Waterfall}}</pre></details>
+{{end}}</body></html>
+`))
--- /dev/null
+++ b/cmd/loft/tables.go
@@ -0,0 +1,251 @@
+package main
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/DataDog/sketches-go/ddsketch"
+
+	"kiteloft/internal/otlp"
+	"kiteloft/internal/tracing"
+)
+
+type listCmd struct {
+	source
+	Limit int `default:"50" help:"How many of the latest; 0: all."`
+}
+
+// Run lists the latest traces.
+func (c *listCmd) Run(out io.Writer) error {
+	f, err := c.read()
+	if err != nil {
+		return err
+	}
+	list := f.traces
+	if c.Limit > 0 && len(list) > c.Limit {
+		list = list[len(list)-c.Limit:]
+	}
+	return table(out, f, list)
+}
+
+type slowestCmd struct {
+	source
+	Limit int `short:"n" default:"20" help:"How many."`
+}
+
+// Run lists the slowest queries.
+func (c *slowestCmd) Run(out io.Writer) error {
+	f, err := c.read()
+	if err != nil {
+		return err
+	}
+	list := slices.Clone(f.traces)
+	slices.SortStableFunc(list, bySlowness)
+	return table(out, f, list[:min(len(list), c.Limit)])
+}
+
+// table writes traces, a line each.
+func table(out io.Writer, f found, list []*otlp.Trace) error {
+	if len(list) == 0 {
+		return cmp.Or(f.damage, errNothing)
+	}
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "BEGAN\tTRACE\tQUERY\tMIXER\tCLASS\tENDED\tTOOK\tOVER\tATTEMPTS\tCOST MOST\tKEPT FOR")
+	for _, t := range list {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%d\t%s\t%s\n", t.At.UTC().Format("01-02 15:04:05.000"), t.Query.Trace.String()[:12], t.WireID,
+			t.Mixer, t.Class, ended(t), span(t.End), span(over(t)), len(t.Attempts)+t.Dropped.Attempts, costMost(t),
+			cmp.Or(strings.Join(otlp.KeepNames(t.Keep), ","), fmt.Sprintf("chance (1 in %.0f)", t.Weight)))
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	saidLost(out, f)
+	return f.damage
+}
+
+func ended(t *otlp.Trace) string {
+	s := otlp.HowName(t.How)
+	if why := otlp.CauseName(t.Why); why != "" {
+		s += " (" + why + ")"
+	}
+	return s
+}
+
+// saidLost repeats what the mixers said that they could not hold.
+func saidLost(out io.Writer, f found) {
+	type key struct{ mixer, class string }
+	sums := map[key]tracing.Loss{}
+	for _, l := range f.lost {
+		k := key{l.Mixer, l.Class}
+		s := sums[k]
+		s.Always, s.Chance, s.Unrecorded = s.Always+l.Always, s.Chance+l.Chance, s.Unrecorded+l.Unrecorded
+		sums[k] = s
+	}
+	for _, k := range slices.SortedFunc(maps.Keys(sums), func(a, b key) int {
+		return cmp.Or(cmp.Compare(a.mixer, b.mixer), cmp.Compare(a.class, b.class))
+	}) {
+		s := sums[k]
+		fmt.Fprintf(out, "not held by %s, class %s: %d that mattered, %d kept by chance, %d not recorded\n", k.mixer, k.class, s.Always, s.Chance, s.Unrecorded)
+	}
+}
+
+// costMost names what took the longest stretch of a query's critical path.
+func costMost(t *otlp.Trace) string {
+	var most tracing.Segment
+	for _, s := range tracing.Critical(&t.Query) {
+		if s.To-s.From > most.To-most.From {
+			most = s
+		}
+	}
+	if most.To == most.From {
+		return "-"
+	}
+	return fmt.Sprintf("%s %s", where(t, most), span(most.To-most.From))
+}
+
+// what are the words for what time goes to.
+var what = map[tracing.What]string{tracing.Mixer: "mixer", tracing.Connect: "connect", tracing.Write: "write", tracing.Node: "answer", tracing.Read: "read"}
+
+func where(t *otlp.Trace, s tracing.Segment) string {
+	if s.Attempt < 0 {
+		return what[s.What]
+	}
+	return t.Attempts[s.Attempt].Node + " " + what[s.What]
+}
+
+// span writes a time as milliseconds, or seconds where there are many.
+func span(d time.Duration) string {
+	switch {
+	case d == 0:
+		return "-"
+	case d < 10*time.Millisecond:
+		return fmt.Sprintf("%.2fms", float64(d)/1e6)
+	case d < 10*time.Second:
+		return fmt.Sprintf("%.0fms", float64(d)/1e6)
+	}
+	return fmt.Sprintf("%.1fs", d.Seconds())
+}
+
+type nodesCmd struct {
+	source
+	By string `default:"node" enum:"node,zone,cause,class" help:"What the time is summed up by: node, zone, cause or class."`
+}
+
+// row is a line of the table of costs.
+type row struct {
+	name            string
+	over            time.Duration
+	queries         int // that were over their time because of it
+	attempts, wrong int
+	times           *ddsketch.DDSketch // of its answered attempts, in milliseconds; nil: none
+}
+
+func (r *row) quantile(q float64) string {
+	if r.times == nil {
+		return "-"
+	}
+	v, err := r.times.GetValueAtQuantile(q)
+	if err != nil {
+		return "-"
+	}
+	return span(time.Duration(v * float64(time.Millisecond)))
+}
+
+// Run writes the table.
+func (c *nodesCmd) Run(out io.Writer) error {
+	f, err := c.read()
+	if err != nil {
+		return err
+	}
+	rows, total := costs(f.traces, c.By)
+	if len(rows) == 0 {
+		return cmp.Or(f.damage, errNothing)
+	}
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(w, "%s\tOVER\tSHARE\tQUERIES\tATTEMPTS\tFAILED\tP50\tP90\tP99\n", strings.ToUpper(c.By))
+	for _, r := range rows {
+		share := 0.0
+		if total > 0 {
+			share = 100 * float64(r.over) / float64(total)
+		}
+		fmt.Fprintf(w, "%s\t%s\t%.1f%%\t%d\t%d\t%d\t%s\t%s\t%s\n", r.name, span(r.over), share, r.queries, r.attempts, r.wrong,
+			r.quantile(0.5), r.quantile(0.9), r.quantile(0.99))
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	saidLost(out, f)
+	return f.damage
+}
+
+// costs sums the time over wanted up, the dearest first, and in all.
+func costs(list []*otlp.Trace, by string) (rows []*row, total time.Duration) {
+	all := map[string]*row{}
+	get := func(name string) *row {
+		r := all[name]
+		if r == nil {
+			r = &row{name: name}
+			all[name] = r
+		}
+		return r
+	}
+	for _, t := range list {
+		charged := map[string]bool{}
+		for _, c := range tracing.Over(&t.Query) {
+			r := get(nameOf(t, c.Segment, by))
+			r.over += c.Over
+			total += c.Over
+			if !charged[r.name] {
+				charged[r.name] = true
+				r.queries++
+			}
+		}
+		for i := range t.Attempts {
+			a := &t.Attempts[i]
+			r := get(nameOf(t, tracing.Segment{Attempt: i, What: tracing.Node}, by))
+			r.attempts++
+			switch {
+			case a.Over && otlp.OutcomeName(a.Outcome) == "ok":
+				r.sample(a.End - a.Begin)
+			case !a.Over || otlp.OutcomeName(a.Outcome) != "cancelled":
+				r.wrong++
+			}
+		}
+	}
+	rows = slices.Collect(maps.Values(all))
+	slices.SortFunc(rows, func(a, b *row) int {
+		return cmp.Or(cmp.Compare(b.over, a.over), cmp.Compare(b.attempts, a.attempts), cmp.Compare(a.name, b.name))
+	})
+	return rows, total
+}
+
+func (r *row) sample(d time.Duration) {
+	if r.times == nil {
+		sk, err := ddsketch.NewDefaultDDSketch(0.01)
+		if err != nil {
+			return // the accuracy is a constant within its range
+		}
+		r.times = sk
+	}
+	_ = r.times.Add(float64(d) / float64(time.Millisecond)) // fails only beyond any time
+}
+
+func nameOf(t *otlp.Trace, s tracing.Segment, by string) string {
+	switch {
+	case by == "class":
+		return t.Class
+	case by == "cause":
+		return what[s.What]
+	case s.Attempt < 0:
+		return "(mixer)"
+	case by == "zone":
+		return cmp.Or(t.Zone(&t.Attempts[s.Attempt]), "(unknown)")
+	}
+	return t.Attempts[s.Attempt].Node
+}
