--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,9 @@
 	go test ./internal/frames -fuzz FuzzParser -fuzztime 20s
 	go test ./internal/h2 -fuzz FuzzReceive -fuzztime 20s
 	go test ./internal/columns -fuzz FuzzDecode -fuzztime 20s
+	go test ./internal/tracing -fuzz FuzzContext -fuzztime 20s
+	go test ./internal/otlp -fuzz FuzzDecode -fuzztime 20s
+	go test ./internal/segments -fuzz FuzzRead -fuzztime 20s
 
 # What a query costs in the core and in the platform's front, without sockets.
 bench:
--- a/decide/api.go
+++ b/decide/api.go
@@ -218,11 +218,11 @@
 
 // The choices.
 const (
-	ByOffset  Choice = iota // it stands at the query's offset
-	LeftSlow                // the one at the offset may not be used, or would be too late
-	NextBest                // an earlier attempt has ended, and it is the best that is left
-	LateCopy                // the part is late where it is
-	Stranded                // no attempt of the part is likely to be answered in time
+	ByOffset Choice = iota // it stands at the query's offset
+	LeftSlow               // the one at the offset may not be used, or would be too late
+	NextBest               // an earlier attempt has ended, and it is the best that is left
+	LateCopy               // the part is late where it is
+	Stranded               // no attempt of the part is likely to be answered in time
 )
 
 // Cause is why a query ends without an answer.
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -68,6 +68,13 @@
 		{"known", replace("active", "asleep"), "", nil},
 		{"flight.listen", sound, "[flight]\nlisten = \"here\"\n", nil},
 		{"ipfix.collector", sound, "[ipfix]\ncollector = \"here\"\n", nil},
+		{"tracing.collector", sound, "[tracing]\ncollector = \"http://collector:4318/v1/traces\"\n", nil},
+		{"tracing.collector", sound, "[tracing]\ncollector = \"https://127.0.0.1:4318/v1/traces\"\n", nil},
+		{"tracing.collector", sound, "[tracing]\ncollector = \"http://127.0.0.1:4318\"\n", nil},
+		{"tracing.memory_kb", sound, "[tracing]\nmemory_kb = 3\n", nil},
+		{"tracing.memory_kb", sound, "[tracing]\nmemory_kb = 100000\n", nil},
+		{"tracing.spans_per_second", sound, "[tracing]\nspans_per_second = -1.0\n", nil},
+		{"tracing.segments", sound, "[tracing]\nsegments = -1\n", nil},
 		{"flight.lisen", sound, "[flight]\nlisen = \"127.0.0.1:1\"\n", nil},
 	}
 	for _, tt := range tests {
@@ -79,3 +86,19 @@
 		t.Errorf("no file: error %v", err)
 	}
 }
+
+func TestTracingHasDefaults(t *testing.T) {
+	c, err := load(t, sound, "", nil)
+	if err != nil || c.Tracing.On() {
+		t.Errorf("%+v, %v; want traces off", c.Tracing, err)
+	}
+	c, err = load(t, sound, "[tracing]\ndirectory = \"/tmp/x\"\nspans_per_second = 50.0\n", nil)
+	want := Tracing{Directory: "/tmp/x", MemoryKB: defaultTraceKB, Spans: 50, SegmentMB: defaultSegment, MostOfThem: defaultSegments}
+	if err != nil || c.Tracing != want || !c.Tracing.On() {
+		t.Errorf("%+v, %v; want %+v", c.Tracing, err, want)
+	}
+	// A small mixer gives traces a quarter of its memory at most.
+	if c, err = load(t, strings.Replace(sound, "192", "32", 1), "", nil); err != nil || c.Tracing.MemoryKB > 8192 {
+		t.Errorf("%+v, %v", c.Tracing, err)
+	}
+}
