Probe a connection whose streams are all held by parts given up

With few streams a connection, what was given up could hold all of them for good: no later answer could show that the node had read so. A probe on that connection asks; its answer frees them. The test opens a connection for every part without it.

--- a/cmd/kiteloft/links_test.go
+++ b/cmd/kiteloft/links_test.go
@@ -102,6 +102,23 @@
 	}
 }
 
+// TestReadGiveUpsFreeTheirPlaces has a node that answers no part but all probes: it
+// reads, so its connection stays in use.
+func TestReadGiveUpsFreeTheirPlaces(t *testing.T) {
+	t.Parallel()
+	n := standin.NewNode("s-0", silent)
+	n.Probed = func(int) bool { return true }
+	b := &bed{nodes: []*standIn{n}, members: []member{{ID: n.ID, HostPort: platformWire{}.node(t, n), Locality: "a", Phase: "active", Size: 1}}}
+	b.run(t, strings.Replace(settings, `"streams_per_conn":32`, `"streams_per_conn":1`, 1))
+	for range 6 {
+		_ = (platformWire{}).ask(t, b, query{Class: "lookup", Shards: []int{1}, Deadline: 150 * time.Millisecond})
+	}
+	came, _ := n.Connections()
+	if parts := len(n.Parts()); parts < 3 || came > parts/2 {
+		t.Errorf("%d connections for %d parts, one at a time", came, parts)
+	}
+}
+
 // TestASilentConnectionIsLeft has every part on it answered by a copy elsewhere, so
 // that none is out for long: it is silent all the same.
 func TestASilentConnectionIsLeft(t *testing.T) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -170,7 +170,12 @@
 
 // quiet tells whether nobody waits for anything on the connection.
 func (l *Link) quiet() bool {
-	return len(l.out) == 0 && !slices.ContainsFunc(l.probes, func(p *probe) bool { return !p.told })
+	return len(l.out) == 0 && !l.probing()
+}
+
+// probing tells whether a probe is out on the connection.
+func (l *Link) probing() bool {
+	return slices.ContainsFunc(l.probes, func(p *probe) bool { return !p.told })
 }
 
 // silent tells whether the node has left the connection without a word for so
@@ -375,9 +380,15 @@
 	// A node that stops its work says nothing more: that is no silence. Several parts
 	// in a row that were called off without a word are one: each was answered by a copy
 	// elsewhere, and the connection may have been dead for all of them.
-	if l := t.link; l.quiet() && !l.silent() && l.unread.len() < mostUnheard {
+	l := t.link
+	if l.quiet() && !l.silent() && l.unread.len() < mostUnheard {
 		l.waits = 0
 	}
+	// Guards connections of few streams: with all of them held by what was given up, no
+	// answer would ever show that the node has read so.
+	if most := ls.lim.StreamsPerConn; t.sent && most > 0 && len(l.out)+l.unread.len() >= most && !l.probing() {
+		l.probe(func(decide.Outcome) {})
+	}
 }
 
 // CloseIdle implements broker.Nodes.
@@ -408,9 +419,14 @@
 	if l == nil || l.silent() && mute <= mostSilent {
 		l = ls.open(p) // it may be the connection that is dead, not the node
 	}
-	pr := &probe{done: done, at: ls.core.Now()}
+	l.probe(done)
+}
+
+// probe checks the node by this connection.
+func (l *Link) probe(done func(decide.Outcome)) {
+	pr := &probe{done: done, at: l.ls.core.Now()}
 	l.probes = append(l.probes, pr)
-	ls.core.After(probeTimeout, func() {
+	l.ls.core.After(probeTimeout, func() {
 		pr.end(decide.TimedOut)
 		// Guards against a machine that has vanished and may be back: the connection
 		// will never tell, a new one does.
