--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,7 @@
 	go test ./internal/h2 -fuzz FuzzReceive -fuzztime 20s
 	go test ./internal/columns -fuzz FuzzDecode -fuzztime 20s
 	go test ./internal/tracing -fuzz FuzzContext -fuzztime 20s
-	go test ./internal/otlp -fuzz FuzzDecode -fuzztime 20s
+	go test ./internal/otlp -fuzz FuzzDecode -fuzztime 20s -fuzzminimizetime 10x
 	go test ./internal/segments -fuzz FuzzRead -fuzztime 20s
 
 # What a query costs in the core and in the platform's front, without sockets.
--- a/cmd/kiteloft/traces_test.go
+++ b/cmd/kiteloft/traces_test.go
@@ -340,6 +340,28 @@
 	}
 }
 
+// TestThePlatformsClientsNameTheirTrace has one do so, and its frames stay as they are.
+func TestThePlatformsClientsNameTheirTrace(t *testing.T) {
+	t.Parallel()
+	const trc, span = "4bf92f3577b34da6a3ce929d0e0e4736", "00f067aa0ba902b7"
+	b, dir := two(t, platformWire{}, sound)
+	for i, parent := range []string{"00-" + trc + "-" + span + "-01", "00-" + trc + "-" + span} {
+		id := fmt.Sprintf("q%d", i)
+		if r := (platformWire{}).ask(t, b, query{Class: "lookup", Shards: []int{1}, Deadline: 3 * time.Second, ID: id, Parent: parent}); r.Kind != "served" {
+			t.Fatalf("client got %+v", r)
+		}
+		tr := find(t, b, dir, id)
+		if joins := tr.Query.Trace.String() == trc && tr.Parent.String() == span; joins != (i == 0) {
+			t.Errorf("%q: trace %v under %v", parent, tr.Query.Trace, tr.Parent)
+		}
+	}
+	for _, p := range b.parts() {
+		if p.Text != "c41e77d0" || p.Parent != "" || p.Key != "" {
+			t.Errorf("part came as %+v", p)
+		}
+	}
+}
+
 // TestContextGoesThrough has a Flight client name its trace; Flight nodes are told
 // of it.
 func TestContextGoesThrough(t *testing.T) {
--- a/internal/otlp/fuzz_test.go
+++ b/internal/otlp/fuzz_test.go
@@ -1,6 +1,7 @@
 package otlp
 
 import (
+	"math/rand/v2"
 	"testing"
 
 	trace "go.opentelemetry.io/proto/otlp/trace/v1"
@@ -9,35 +10,60 @@
 	"kiteloft/internal/tracing"
 )
 
-// FuzzDecode reads messages that nobody wrote: a tool that crashes on a spoilt file
-// is no tool.
-func FuzzDecode(f *testing.F) {
+func seed(tb testing.TB) []byte {
 	b, err := proto.Marshal(source.Encode([]*tracing.Query{sample()}, []tracing.Loss{{Always: 1}}, 0))
 	if err != nil {
-		f.Fatal(err)
+		tb.Fatal(err)
 	}
-	f.Add(b)
-	f.Fuzz(func(t *testing.T, b []byte) {
-		var data trace.TracesData
-		if proto.Unmarshal(b, &data) != nil {
-			return
+	return b
+}
+
+// decoded reads a message that nobody wrote; a tool that crashes on a spoilt file is
+// no tool. It tells whether the message was one.
+func decoded(t *testing.T, b []byte) bool {
+	var data trace.TracesData
+	if proto.Unmarshal(b, &data) != nil {
+		return false
+	}
+	list, _, _, err := Decode(&data)
+	if err != nil {
+		return false
+	}
+	for _, tr := range list {
+		at := tr.Begin
+		for _, s := range tracing.Critical(&tr.Query) {
+			if s.From != at || s.To <= s.From {
+				t.Fatalf("a path with a gap at %v: %+v", at, s)
+			}
+			at = s.To
+			if s.Attempt >= len(tr.Attempts) || s.Part >= len(tr.Parts) {
+				t.Fatalf("a path through what is not there: %+v", s)
+			}
 		}
-		list, _, _, err := Decode(&data)
-		if err != nil {
-			return
+		tracing.Over(&tr.Query)
+	}
+	return true
+}
+
+// FuzzDecode reads messages that nobody wrote.
+func FuzzDecode(f *testing.F) {
+	f.Add(seed(f))
+	f.Fuzz(func(t *testing.T, b []byte) { decoded(t, b) })
+}
+
+// TestSpoiltMessages changes some bytes of a message, 5,000 times.
+func TestSpoiltMessages(t *testing.T) {
+	whole, rng, read := seed(t), rand.New(rand.NewPCG(1, 1)), 0
+	for range 5000 {
+		b := append([]byte(nil), whole...)
+		for range 1 + rng.IntN(4) {
+			b[rng.IntN(len(b))] = byte(rng.Uint32())
 		}
-		for _, tr := range list {
-			at := tr.Begin
-			for _, s := range tracing.Critical(&tr.Query) {
-				if s.From != at || s.To <= s.From {
-					t.Fatalf("a path with a gap at %v: %+v", at, s)
-				}
-				at = s.To
-				if s.Attempt >= len(tr.Attempts) || s.Part >= len(tr.Parts) {
-					t.Fatalf("a path through what is not there: %+v", s)
-				}
-			}
-			tracing.Over(&tr.Query)
+		if decoded(t, b) {
+			read++
 		}
-	})
+	}
+	if read < 500 {
+		t.Errorf("%d of 5,000 could be read: too few to show anything", read)
+	}
 }
