--- a/internal/standin/mixer.go
+++ b/internal/standin/mixer.go
@@ -86,8 +86,10 @@
 		default:
 		}
 		if time.Now().After(until) {
+			_ = m.Cmd.Process.Signal(syscall.SIGQUIT) // it says where it stands
+			time.Sleep(time.Second)
 			m.Kill()
-			return m, errors.New("the mixer was not ready in time")
+			return m, fmt.Errorf("the mixer was not ready in time; its log:\n%s", strings.Join(m.Logs(), "\n"))
 		}
 	}
 }
--- a/internal/tracing/record.go
+++ b/internal/tracing/record.go
@@ -124,7 +124,6 @@
 	r       *Recorder
 	thin    bool // nothing but the root is recorded
 	content uint64
-	level   uint8
 	where   where
 	due     time.Duration
 	size    int // bytes that it is counted for
