Poll for log lines: one could wait for the next to be written

Seen: a mixer under the race detector was not ready for its test in 15 s, once in three runs: the line that says where it serves had not come. Cause: the log's ring wakes its reader without holding the lock (zerolog's diode with no poll interval), so a wake-up can be missed and a line waits until another one is written; a probe lost line 2 at once. Polled every 50 ms now.

--- a/cmd/kiteloft/flags_test.go
+++ b/cmd/kiteloft/flags_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"bytes"
+	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
+	"time"
 )
 
 // TestFlags runs the program with each of its flags.
@@ -50,3 +53,38 @@
 		})
 	}
 }
+
+// TestNoLogLineWaitsForTheNext writes lines with nothing after them, to many logs at
+// once: those on call must not wait for a second one to see the first.
+func TestNoLogLineWaitsForTheNext(t *testing.T) {
+	var wg sync.WaitGroup
+	for range 40 {
+		wg.Go(func() {
+			r, w := io.Pipe()
+			out := logTo(w)
+			came := make(chan struct{})
+			go func() {
+				for b := make([]byte, 100); ; {
+					if _, err := r.Read(b); err != nil {
+						return
+					}
+					came <- struct{}{}
+				}
+			}()
+			for i := range 40 {
+				if _, err := out.Write([]byte("line\n")); err != nil {
+					t.Error(err)
+				}
+				select {
+				case <-came:
+				case <-time.After(5 * time.Second):
+					t.Errorf("line %d waits for the next", i)
+					return
+				}
+			}
+			_ = r.Close()
+			_ = out.Close()
+		})
+	}
+	wg.Wait()
+}
--- a/cmd/kiteloft/main.go
+++ b/cmd/kiteloft/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"runtime"
@@ -34,8 +35,9 @@
 	clockStart   = 24 * time.Hour
 	ownFiles     = 40   // descriptors that are not connections
 	logLines     = 1000 // lines that may wait to be written
-	backlogShare = 8    // one in so many bytes of memory may hold what was read and not looked at
-	memoryShare  = 0.7  // share of the memory limit at which the collector works harder
+	logPoll      = 50 * time.Millisecond
+	backlogShare = 8   // one in so many bytes of memory may hold what was read and not looked at
+	memoryShare  = 0.7 // share of the memory limit at which the collector works harder
 )
 
 // flags are the command line's. Without any, the mixer serves as the environment
@@ -89,11 +91,7 @@
 		fmt.Println("configuration is sound")
 		return 0
 	}
-	// Guards the loop against whoever reads our log and stops: lines are dropped,
-	// and counted, rather than waited for.
-	out := diode.NewWriter(os.Stderr, logLines, 0, func(missed int) {
-		fmt.Fprintf(os.Stderr, "{\"level\":\"warn\",\"lines\":%d,\"message\":\"log lines dropped\"}\n", missed)
-	})
+	out := logTo(os.Stderr)
 	defer func() { _ = out.Close() }() // nobody is left to tell
 	log := zerolog.New(out).With().Timestamp().Logger()
 	sig := notify()
@@ -111,6 +109,15 @@
 	return 0
 }
 
+// logTo guards the loop against whoever reads our log and stops: lines are dropped,
+// and counted, rather than waited for. The lines are polled for: the library's other
+// way misses a wake-up now and then, and a line waits for the next one.
+func logTo(w io.Writer) diode.Writer {
+	return diode.NewWriter(w, logLines, logPoll, func(missed int) {
+		_, _ = fmt.Fprintf(w, "{\"level\":\"warn\",\"lines\":%d,\"message\":\"log lines dropped\"}\n", missed) // nobody reads
+	})
+}
+
 // coreLog writes the core's log lines.
 type coreLog struct{ zerolog.Logger }
 
