Judge a fleet of cold servers by what was borne before, or by what they answer

Need: after an outage of all nodes every successor is cold. What a cold server may be sent was taken from what warm ones answer, which is nothing then: one part a second and server for the whole cold time. Now it is what warm ones bore in the last 20 to 40 s while there were any, or what cold ones answer for the capacity that the rule gives them by now, which grows with each answer and needs no memory.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -63,6 +63,7 @@
 	m.attend()
 	m.follow()
 	m.refill()
+	m.remember()
 	m.admit()
 	for _, q := range m.live {
 		m.settle(q)
@@ -573,9 +574,7 @@
 }
 
 // coldRoom keeps a cold server's budget in every window: what a warm server bears from us, times the cold
-// one's share of capacity now, times the multiple. A warm server bears what lies midway between the mean
-// and the busiest: answers are within capacity, but one aggregator's busiest hour is not every
-// aggregator's.
+// one's share of capacity now, times the multiple.
 func (m *Module) coldRoom(s *server) bool {
 	if !s.cold {
 		return true
@@ -586,15 +585,8 @@
 		return true
 	}
 	s.coldSends = since(s.coldSends, m.now-m.set.Fall)
-	share := m.set.ColdFrom + (1-m.set.ColdFrom)*age.Seconds()/m.set.Cold.Seconds()
-	busiest, sum, n := 0.0, 0.0, 0.0
-	for _, w := range m.order {
-		if !w.cold && !w.barred {
-			r := w.answers.rate(m.now)
-			busiest, sum, n = max(busiest, r), sum+r, n+1
-		}
-	}
-	warm := (busiest + sum/max(n, 1)) / 2 * m.set.Fall.Seconds()
+	share := m.coldShare(s)
+	warm := m.bears() * m.set.Fall.Seconds()
 	return float64(len(s.coldSends)+1) <= max(1, m.set.FallMultiple*share*warm)
 }
 
--- a/decide/state.go
+++ b/decide/state.go
@@ -46,6 +46,8 @@
 	idleLearned         time.Duration
 	lostIdle, lostFresh float64    // shares of attempts lost on connections that had been idle, and on others
 	out                 []*attempt // in the order of their sends
+	bore                recent     // what a warm server bore from us
+	boreAt              time.Duration
 	askAt               time.Duration
 	asks                int
 	subscribed          bool
@@ -354,6 +356,67 @@
 // note writes a rare line for those on call.
 func (m *Module) note(format string, args ...any) { m.act(Log{Line: fmt.Sprintf(format, args...)}) }
 
+// coldShare is the share of its capacity that a cold server has now at the least.
+func (m *Module) coldShare(s *server) float64 {
+	age := min(m.now-s.coldSince, m.set.Cold)
+	return m.set.ColdFrom + (1-m.set.ColdFrom)*max(0, age.Seconds())/m.set.Cold.Seconds()
+}
+
+// bears is how many parts a second a warm server is known to bear from us: midway
+// between the mean and the busiest of what warm ones answer. Answers are within
+// capacity, but one aggregator's busiest hour is not every aggregator's. While none is
+// warm, as after an outage of them all, it is what was so shortly before, or what cold
+// ones answer for the capacity that they have by now: guards against a fleet of cold
+// servers that is sent next to nothing, until the last of them is warm, for want of a
+// warm one to judge by.
+func (m *Module) bears() float64 {
+	busiest, sum, n, cold := 0.0, 0.0, 0.0, 0.0
+	for _, w := range m.order {
+		switch r := w.answers.rate(m.now); {
+		case w.barred:
+		case w.cold:
+			cold = max(cold, r/m.coldShare(w))
+		default:
+			busiest, sum, n = max(busiest, r), sum+r, n+1
+		}
+	}
+	if n == 0 {
+		return max(m.bore.most(), cold)
+	}
+	now := (busiest + sum/n) / 2
+	m.bore.note(m.now, now)
+	return now
+}
+
+// remember keeps up what warm servers bear, once a second: when the last of them has
+// gone it is too late to look.
+func (m *Module) remember() {
+	if m.now >= m.boreAt {
+		m.boreAt = m.now + time.Second
+		m.bears()
+	}
+}
+
+// recent is the greatest value of late: of this span of bearSpan and of the one before.
+// It stands still while nothing is noted.
+type recent struct {
+	this, last float64
+	since      time.Duration
+}
+
+// bearSpan is at least how far back what servers bore is remembered: what they answer
+// fades in the first seconds of an outage, before it is known as one.
+const bearSpan = 20 * time.Second
+
+func (r *recent) note(now time.Duration, v float64) {
+	if now-r.since > bearSpan {
+		r.last, r.this, r.since = r.this, 0, now
+	}
+	r.this = max(r.this, v)
+}
+
+func (r *recent) most() float64 { return max(r.this, r.last) }
+
 // remark tells, once a part and kind, what kept it from being sent.
 func (m *Module) remark(p *part, what Shortage) {
 	if m.set.Remarks && !p.remarked[what] {
--- a/decide/symptom_test.go
+++ b/decide/symptom_test.go
@@ -878,3 +878,58 @@
 		t.Error("none refused: the servers never looked slow, so this shows nothing")
 	}
 }
+
+// TestAFleetOfColdServersIsSentWhatItBears replaces all servers at once by cold ones, as
+// after an outage: what is sent to each is known from before, or learned from what they
+// answer, and stays within the rule all the same.
+func TestAFleetOfColdServersIsSentWhatItBears(t *testing.T) {
+	for _, known := range []bool{true, false} {
+		t.Run(fmt.Sprintf("known before %v", known), func(t *testing.T) {
+			set := testSettings()
+			set.Fall, set.FallMultiple, set.ColdFrom = time.Second, 3, 0.32
+			r := newRig(t, set, "a", "b")
+			if known {
+				r.warm(400, 5*ms) // some 18 a second, 9 for each
+			}
+			l := listOf("c", "d")
+			for i := range l.Servers {
+				l.Servers[i].Started = r.now
+			}
+			r.step(l)
+			began := r.now
+			sent := map[string][]time.Duration{}
+			served := 0
+			for r.now < began+6*time.Second {
+				_, parts := r.query(0, 1)
+				if list := r.sent[parts[0]]; len(list) > 0 {
+					served++
+					sent[list[0].Server] = append(sent[list[0].Server], r.now)
+					r.now += 5 * ms
+					r.done(parts[0], 0, OK, 5*ms)
+				}
+				r.pass(50 * ms)
+			}
+			least := 90 // of some 110; one a second and server would be 12
+			if !known {
+				least = 30
+			}
+			if served < least {
+				t.Errorf("%d queries served in 6 s, want %d at least", served, least)
+			}
+			for id, times := range sent {
+				for i, at := range times {
+					share := 0.32 + 0.68*(at-began).Seconds()/10
+					n := 0
+					for _, u := range times[:i+1] {
+						if u > at-time.Second {
+							n++
+						}
+					}
+					if most := max(1, 3*share*9*1.5); float64(n) > most {
+						t.Fatalf("%s was sent %d parts within a second, %.1f are three times what it bears", id, n, most)
+					}
+				}
+			}
+		})
+	}
+}
