--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test race lint run fuzz bench measure-traces
+.PHONY: build test race lint run fuzz bench measure-traces measure-outage
 
 build:
 	mkdir -p bin && go build -o bin/ ./cmd/...
@@ -36,3 +36,8 @@
 # machine with nothing else to do.
 measure-traces:
 	KITELOFT_MEASURE=1 go test ./bench -run TestProcessCost -v -count 1 -timeout 20m
+
+# How worth comes back after an outage of all nodes; about a minute. KITELOFT_PROGRAM
+# names another build to measure in place of this one.
+measure-outage:
+	KITELOFT_MEASURE=1 go test ./bench -run TestOutage -v -count 1
--- a/decide/state.go
+++ b/decide/state.go
@@ -381,7 +381,7 @@
 		}
 	}
 	if n == 0 {
-		return max(m.bore.most(), cold)
+		return coldMargin * max(m.bore.most(), cold)
 	}
 	now := (busiest + sum/n) / 2
 	m.bore.note(m.now, now)
@@ -404,6 +404,10 @@
 	since      time.Duration
 }
 
+// coldMargin is the share of that which is relied on: aggregators come back at the same
+// moment, each with the queries that clients have saved up for it.
+const coldMargin = 0.7
+
 // bearSpan is at least how far back what servers bore is remembered: what they answer
 // fades in the first seconds of an outage, before it is known as one.
 const bearSpan = 20 * time.Second
--- a/internal/standin/frames.go
+++ b/internal/standin/frames.go
@@ -66,12 +66,12 @@
 		case letter == '3' && n.Probed != nil && n.Probed(link):
 			send('3', "S")
 		}
-		for letter == '1' && rest != "" {
+		for first := true; letter == '1' && rest != ""; first = false {
 			var p Part
 			p, rest = readPart(rest)
-			p.Link = link
+			p.Link, p.First = link, first
 			do := n.take(p)
-			answer := func() {
+			answer := func(do Reply) {
 				switch do.End {
 				case 0:
 				case 'r':
@@ -87,7 +87,11 @@
 					send('5', fmt.Sprintf("%s %c %d -\n%s", p.ID, do.End, do.Score, do.Value))
 				}
 			}
-			time.AfterFunc(do.After, answer)
+			if do.Later != nil {
+				do.Later(answer)
+				continue
+			}
+			time.AfterFunc(do.After, func() { answer(do) })
 		}
 	}
 }
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -23,6 +23,7 @@
 	Whole, Second bool
 	At            time.Time
 	Link          int    // number of the connection that it came on; frames only
+	First         bool   // of its call; frames only
 	Parent, State string // traceparent and tracestate; Flight nodes only
 }
 
@@ -34,6 +35,9 @@
 	Score int64
 	Value string
 	After time.Duration
+	// Later, if it is set, is called at once with the way to answer, and stands for all
+	// the rest; frames only.
+	Later func(answer func(Reply))
 }
 
 // Sound is the reply of a node that is well: a value by which its shard is known.
@@ -49,6 +53,8 @@
 	Probed func(link int) bool
 	// Forgets has parts not kept, for long runs.
 	Forgets bool
+	// Stops is told of each part that the mixer gives up; it may be nil.
+	Stops func(id string)
 
 	mu    sync.Mutex
 	do    func(Part) Reply
@@ -80,6 +86,9 @@
 	if !n.Forgets {
 		n.gone = append(n.gone, id)
 	}
+	if n.Stops != nil {
+		n.Stops(id)
+	}
 }
 
 // Parts are the parts that have come.
