See retry storms: first tries, repeats and answers in time, in four states

internal/storm is pure and costs the same for each event: repeats are known by their mark, or by key or content; calm, rising, storm and recovering follow one another with hysteresis, and each change is logged with its figures. It damps nothing yet. Tests: an outage, one whose clients mark nothing, one that returns every 8 s, and what is no storm: a burst of first tries at 1.9 times the usual, one silent node, a wave of 160 refusals in 0.3 s.

--- a/bench/core_test.go
+++ b/bench/core_test.go
@@ -96,6 +96,7 @@
 func (w *world) Watch(bool)                                     {}
 func (w *world) Read()                                          {}
 func (w *world) Module(string)                                  {}
+func (w *world) Storm(_, _ string)                              { w.wrong++ }
 func (w *world) Guard(_, _, _, _ string)                        { w.wrong++ }
 func (w *world) Served(bool, []broker.Value)                    { w.done++ }
 func (w *world) Refused(time.Duration)                          { w.wrong++ }
--- a/bench/outage_test.go
+++ b/bench/outage_test.go
@@ -83,6 +83,7 @@
 		dir.Join(m)
 	}
 	var addrs []string
+	var mixers []*standin.Mixer
 	for i := range 3 {
 		m, err := standin.Start(standin.Setup{Program: program, Dir: t.TempDir(), Name: fmt.Sprintf("n%d", i), Settings: outageSettings, Discovery: dir.Serve(), Known: members})
 		if err != nil {
@@ -93,7 +94,7 @@
 				t.Error(err)
 			}
 		})
-		addrs = append(addrs, m.Listen())
+		addrs, mixers = append(addrs, m.Listen()), append(mixers, m)
 	}
 	crowd := standin.Crowd{Addrs: addrs, Rate: outageRate, Time: outageTime, Seed: seed, Tries: 3, Pause: 100 * time.Millisecond, Obeys: 0.5, Marks: true, Timeout: 0.7,
 		Aim: map[string]time.Duration{"lookup": 1500 * time.Millisecond, "booking": 1500 * time.Millisecond},
@@ -138,6 +139,13 @@
 			ninety = at - toldAt
 		}
 	}
+	for _, m := range mixers {
+		for _, l := range m.Logs() {
+			if strings.Contains(l, "clients' retries") {
+				t.Log(l)
+			}
+		}
+	}
 	worst, fell := 0.0, 0
 	for _, h := range next {
 		w, toppled := h.Worst()
--- a/cmd/kiteloft/main.go
+++ b/cmd/kiteloft/main.go
@@ -131,6 +131,10 @@
 	line.Str("about", about).Msg("a guard of the core stepped in")
 }
 
+func (l coreLog) Storm(state, about string) {
+	l.Warn().Str("state", state).Str("about", about).Msg("clients' retries")
+}
+
 // signals are what the platform may send. A hang-up must not wait behind an end,
 // nor the other way round; one that waits stands for all that come meanwhile.
 type signals struct{ end, again chan os.Signal }
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -13,6 +13,7 @@
 
 	"kiteloft/decide"
 	"kiteloft/internal/settings"
+	"kiteloft/internal/storm"
 	"kiteloft/internal/tracing"
 )
 
@@ -93,12 +94,16 @@
 type Log interface {
 	Module(line string)                  // a line of the module's
 	Guard(rule, id, trace, about string) // a guard of the core's stepped in; id and trace are a query's, or ""
+	Storm(state, about string)           // the service stands otherwise
 }
 
 // lastGuard is how long before a query's time is up the core ends it itself, or a
 // tick where that is less: the module does so two ticks before.
 const lastGuard = 3 * time.Millisecond
 
+// judgePace is how often the core looks whether clients storm it.
+const judgePace = 100 * time.Millisecond
+
 // forgetGone is how long after its window a node that is gone is remembered.
 const forgetGone = 30 * time.Second
 
@@ -115,6 +120,8 @@
 	dir    Directory
 	log    Log
 	traces *tracing.Recorder // nil: none are recorded
+	watch  *storm.Watch
+	judged time.Duration
 	mail   mailbox
 	timers timers
 	now    time.Duration
@@ -216,7 +223,7 @@
 
 // New returns a Core. Use sets its surroundings before Run.
 func New(set settings.Settings, mod Stepper, clock func() time.Duration, log Log) *Core {
-	return &Core{set: set, mod: mod, clock: clock, log: log, mail: newMailbox(),
+	return &Core{set: set, mod: mod, clock: clock, log: log, mail: newMailbox(), watch: storm.New(),
 		queries: map[string]*query{}, wireIDs: map[string]*query{}, parts: map[string]*part{}, members: map[string]Member{},
 		told: map[string]time.Duration{}}
 }
@@ -280,6 +287,9 @@
 	if len(c.events) > 0 && c.now >= c.stepped+c.set.Module.Tick {
 		c.step()
 	}
+	if c.now >= c.judged+judgePace {
+		c.judge()
+	}
 	if c.stopping && len(c.queries) == 0 && c.idle != nil {
 		idle := c.idle
 		c.idle = nil
@@ -321,7 +331,10 @@
 		return Duplicate, nil
 	}
 	// Guards memory, and the module against more than its settings promise.
+	sum := c.sum(in)
+	c.watch.Asked(c.now, in.Repeat, sum)
 	if most := c.set.Module.MaxOpen; most > 0 && c.held+1+len(in.Parts) > most {
+		c.watch.Ended(c.now, false)
 		return Crowded, nil
 	}
 	c.number++
@@ -333,7 +346,7 @@
 		work += p.Work
 	}
 	if c.traces != nil {
-		q.trace = c.begin(in, work)
+		q.trace = c.begin(in, work, sum)
 	}
 	c.events = append(c.events, decide.QueryArrived{ID: q.id, Number: q.number, Class: in.Class, Tenant: in.Tenant,
 		Key: in.Key, Left: in.Left, Work: work, Repeat: in.Repeat})
@@ -413,6 +426,10 @@
 	delete(c.queries, q.id)
 	delete(c.wireIDs, q.WireID)
 	c.shed(q)
+	if how != tracing.Deserted {
+		served := how == tracing.Served || how == tracing.Short
+		c.watch.Ended(c.now, served && c.now <= q.end-q.Left+q.class.Aim)
+	}
 	if q.trace != nil {
 		c.traces.End(c.now, q.trace, how, uint8(why))
 		q.trace = nil // the record is not ours any more
--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -21,7 +21,7 @@
 		t.Fatal(err)
 	}
 	own := map[string]bool{"kiteloft/decide": true, "kiteloft/internal/settings": true, "kiteloft/internal/broker": true,
-		"kiteloft/internal/tracing": true}
+		"kiteloft/internal/tracing": true, "kiteloft/internal/storm": true}
 	for _, dep := range strings.Fields(string(out)) {
 		switch {
 		case strings.HasPrefix(dep, "kiteloft/") && !own[dep],
@@ -66,6 +66,7 @@
 	calls   [][]*Attempt
 	givenUp int
 	guards  []string
+	states  []string
 	answers []string
 }
 
@@ -77,6 +78,7 @@
 func (s *stage) Watch(bool)                       {}
 func (s *stage) Read()                            {}
 func (s *stage) Module(string)                    {}
+func (s *stage) Storm(state, _ string)            { s.states = append(s.states, state) }
 func (s *stage) Guard(rule, _, _, _ string)       { s.guards = append(s.guards, rule) }
 func (s *stage) Refused(time.Duration)            { s.answers = append(s.answers, "refused") }
 func (s *stage) Served(whole bool, values []Value) {
--- /dev/null
+++ b/internal/broker/storm_test.go
@@ -0,0 +1,69 @@
+package broker
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"kiteloft/decide"
+)
+
+// refuser is a module that refuses everything for a while, and then serves it.
+type refuser struct{ until time.Duration }
+
+func (r *refuser) Step(now time.Duration, events []decide.Event) (out []decide.Action) {
+	for _, e := range events {
+		switch e := e.(type) {
+		case decide.QueryArrived:
+			if now < r.until {
+				out = append(out, decide.Refuse{Query: e.ID})
+			}
+		case decide.PartArrived:
+			if now >= r.until {
+				out = append(out, decide.Send{Part: e.ID, Server: "n0"})
+			}
+		case decide.AttemptDone:
+			if e.Outcome == decide.OK {
+				out = append(out, decide.Answer{Query: e.Part[:len(e.Part)-2], Whole: true})
+			}
+		}
+	}
+	return out
+}
+
+// TestStormsAreSeen has clients ask again at once, without a mark, while all is
+// refused.
+func TestStormsAreSeen(t *testing.T) {
+	s := play(t)
+	s.mod = &refuser{until: time.Hour + 20*time.Second}
+	s.set.Module.Classes[0].Aim = time.Second
+	s.set.Module.Cells = 0
+	ask := func(n, try int) {
+		s.Post(func() {
+			if v, _ := s.Take(Query{WireID: fmt.Sprintf("%d.%d", n, try), Left: time.Second, Text: fmt.Append(nil, n), Parts: []QueryPart{{Shard: 0, Weight: 1}}, Answerer: s}); v != Taken {
+				t.Fatalf("verdict %v", v)
+			}
+		})
+	}
+	answered := 0
+	for at := time.Duration(0); at < 40*time.Second; at += 25 * time.Millisecond {
+		n := int(at / (100 * time.Millisecond)) // a query each 100 ms, asked four times while it is refused
+		if try := int(at/(25*time.Millisecond)) % 4; try == 0 || at < 20*time.Second && at > 5*time.Second {
+			ask(n, try)
+		}
+		s.at(at)
+		for _, call := range s.calls {
+			for _, a := range call {
+				s.Ended(a, decide.OK, 0, nil)
+				answered++
+			}
+		}
+		s.calls = nil
+		s.at(at + 10*time.Millisecond)
+	}
+	if diff := cmp.Diff([]string{"rising", "storm", "recovering", "calm"}, s.states); diff != "" || answered < 150 {
+		t.Errorf("%d answered; states differ: %s", answered, diff)
+	}
+}
--- a/internal/broker/trace.go
+++ b/internal/broker/trace.go
@@ -7,29 +7,45 @@
 	"kiteloft/internal/tracing"
 )
 
-// What the core hands to its recorder of traces. Without one, none of this runs.
+// What the core hands to those that watch it: its recorder of traces, where there is
+// one, and its watch for storms.
 
 var shortages = map[decide.Shortage]tracing.EventKind{decide.TokenShort: tracing.NoToken,
 	decide.BudgetShort: tracing.NoBudget, decide.ColdShort: tracing.ColdFull}
 
 // begin opens a query's record.
-func (c *Core) begin(in Query, work time.Duration) *tracing.Query {
-	s := tracing.Start{Front: in.Front, Class: in.Class, WireID: in.WireID, Key: in.Key,
-		Repeat: in.Repeat, Left: in.Left, Work: work}
+func (c *Core) begin(in Query, work time.Duration, sum uint64) *tracing.Query {
+	s := tracing.Start{Front: in.Front, Class: in.Class, WireID: in.WireID, Key: in.Key, Repeat: in.Repeat, Left: in.Left, Work: work}
 	if in.Context != nil {
 		s.Context = *in.Context
 	}
 	if in.Key == "" {
-		shards := c.shards[:0]
-		for _, p := range in.Parts {
-			shards = append(shards, p.Shard)
-		}
-		c.shards = shards
-		s.Content = tracing.Content(in.Class, in.Text, shards)
+		s.Content = sum
 	}
 	return c.traces.Begin(c.now, s)
 }
 
+// sum stands for what a query asks for: its key, or its content where it has none.
+func (c *Core) sum(in Query) uint64 {
+	if in.Key != "" {
+		return tracing.KeySum(in.Class, in.Key)
+	}
+	shards := c.shards[:0]
+	for _, p := range in.Parts {
+		shards = append(shards, p.Shard)
+	}
+	c.shards = shards
+	return tracing.Content(in.Class, in.Text, shards)
+}
+
+// judge looks whether clients storm the service.
+func (c *Core) judge() {
+	c.judged = c.now
+	if change, ok := c.watch.Judge(c.now); ok {
+		c.log.Storm(change.To.String(), change.String())
+	}
+}
+
 // traceAttempt records an attempt that is about to be sent.
 func (c *Core) traceAttempt(a *Attempt, m Member, why decide.Choice) {
 	reason := tracing.First
--- /dev/null
+++ b/internal/storm/storm_test.go
@@ -0,0 +1,144 @@
+package storm
+
+import (
+	"os/exec"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+// TestPure keeps I/O and the rest of the program out.
+func TestPure(t *testing.T) {
+	out, err := exec.Command("go", "list", "-f", `{{join .Imports "\n"}}`, ".").Output()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, dep := range strings.Fields(string(out)) {
+		if dep != "fmt" && dep != "math" && dep != "time" {
+			t.Errorf("storm imports %s", dep)
+		}
+	}
+}
+
+// stretch is a time in which so much is asked and answered.
+type stretch struct {
+	seconds       float64
+	first, repeat int     // a second
+	good          float64 // share answered in time
+	unmarked      bool    // clients don't say that they ask again
+}
+
+// play goes through stretches and returns the states in order.
+func play(w *Watch, list []stretch) (states []State) {
+	now := time.Hour
+	id, asked, good := uint64(0), 0.0, 0.0
+	states = []State{w.State()}
+	for _, s := range list {
+		n := s.first + s.repeat
+		step := time.Second / time.Duration(max(n, 1))
+		for end := now + time.Duration(s.seconds*float64(time.Second)); now < end; now += step {
+			if n > 0 {
+				asked++
+				repeat := int(asked)%n < s.repeat
+				if !repeat {
+					id++
+				}
+				w.Asked(now, repeat && !s.unmarked, id)
+				good += s.good
+				w.Ended(now, good >= 1)
+				if good >= 1 {
+					good--
+				}
+			}
+			if c, ok := w.Judge(now); ok {
+				states = append(states, c.To)
+			}
+		}
+	}
+	return states
+}
+
+func TestStates(t *testing.T) {
+	usual := stretch{seconds: 20, first: 30, good: 0.99}
+	tests := []struct {
+		name string
+		list []stretch
+		want []State
+	}{
+		{"nothing but the usual", []stretch{usual, usual}, []State{Calm}},
+		{"an outage and its end", []stretch{usual, {seconds: 8, first: 30, repeat: 70}, {seconds: 6, first: 30, repeat: 40, good: 0.8}, usual},
+			[]State{Calm, Rising, Storm, Recovering, Calm}},
+		{"an outage whose clients mark nothing", []stretch{usual, {seconds: 8, first: 30, repeat: 70, unmarked: true}, usual}, []State{Calm, Rising, Storm, Recovering, Calm}},
+		{"a burst of first tries", []stretch{usual, {seconds: 8, first: 57, good: 0.6}, usual}, []State{Calm}},
+		{"one silent node: some late, few ask again", []stretch{usual, {seconds: 10, first: 30, repeat: 3, good: 0.9}, usual}, []State{Calm}},
+		{"a wave of refusals while clients stay away", []stretch{usual, {seconds: 0.3, first: 30, repeat: 500}, usual}, []State{Calm}},
+		{"clients that ask twice and are served", []stretch{usual, {seconds: 10, first: 30, repeat: 30, good: 0.99}, usual}, []State{Calm}},
+		{"nobody asks", []stretch{usual, {seconds: 60}}, []State{Calm}},
+		{"an outage, then nobody", []stretch{usual, {seconds: 8, first: 30, repeat: 70}, {seconds: 30}}, []State{Calm, Rising, Storm, Recovering, Calm}},
+		{"an outage that returns every 8 s", []stretch{usual, {seconds: 8, first: 30, repeat: 70}, {seconds: 8, first: 30, repeat: 20, good: 0.8}, {seconds: 8, first: 30, repeat: 70},
+			{seconds: 8, first: 30, repeat: 20, good: 0.8}, usual}, []State{Calm, Rising, Storm, Recovering, Storm, Recovering, Calm}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			if diff := cmp.Diff(tt.want, play(New(), tt.list)); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+// TestWhatIsUsualIsLearnedInCalm: an outage does not change what counts as usual.
+func TestWhatIsUsualIsLearnedInCalm(t *testing.T) {
+	w := New()
+	play(w, []stretch{{seconds: 60, first: 30, good: 1}, {seconds: 20, first: 10, repeat: 200}})
+	if f := w.Figures(time.Hour + 80*time.Second); f.Usual < 27 || f.Usual > 33 {
+		t.Errorf("%.1f first tries a second are usual, 30 were", f.Usual)
+	}
+}
+
+// TestNoFigureIsOdd plays random events: shares stay shares, memory is bounded, states
+// follow one another only as they may.
+func TestNoFigureIsOdd(t *testing.T) {
+	next := map[State][]State{Calm: {Rising}, Rising: {Storm, Calm}, Storm: {Recovering}, Recovering: {Storm, Calm}}
+	rapid.Check(t, func(t *rapid.T) {
+		w, now := New(), time.Duration(0)
+		for range rapid.IntRange(1, 400).Draw(t, "events") {
+			now += time.Duration(rapid.Int64Range(0, int64(400*time.Millisecond)).Draw(t, "pause"))
+			for range rapid.IntRange(0, 12).Draw(t, "asked") {
+				w.Asked(now, rapid.Bool().Draw(t, "marked"), rapid.Uint64Range(0, 50).Draw(t, "sum"))
+				w.Ended(now, rapid.Bool().Draw(t, "good"))
+			}
+			from := w.State()
+			if c, ok := w.Judge(now); ok {
+				allowed := false
+				for _, s := range next[from] {
+					allowed = allowed || s == c.To
+				}
+				if !allowed || c.From != from || c.To != w.State() {
+					t.Fatalf("from %v to %v", from, c.To)
+				}
+			}
+			f := w.Figures(now)
+			if !(f.Good >= 0 && f.Good <= 1) || !(f.RetryShare() >= 0 && f.RetryShare() <= 1) || !(f.Usual >= 0) {
+				t.Fatalf("figures %+v", f)
+			}
+			if len(w.seen) > maxSeen || len(w.order) > maxSeen {
+				t.Fatalf("%d queries remembered", len(w.seen))
+			}
+		}
+	})
+}
+
+// TestManyQueriesAreForgotten goes beyond what is remembered.
+func TestManyQueriesAreForgotten(t *testing.T) {
+	w := New()
+	for i := range uint64(3 * maxSeen) {
+		w.Asked(time.Duration(i), false, i+1)
+	}
+	if len(w.seen) != maxSeen || len(w.order) != maxSeen {
+		t.Errorf("%d and %d remembered", len(w.seen), len(w.order))
+	}
+}
--- a/internal/tracing/recorder.go
+++ b/internal/tracing/recorder.go
@@ -117,6 +117,9 @@
 	return max(1, xxh3.Hash(b[:]))
 }
 
+// KeySum sums up an idempotency key of a class.
+func KeySum(class int, key string) uint64 { return max(1, xxh3.HashStringSeed(key, uint64(class))) }
+
 // Begin opens a query's record. It returns nil where nothing can be recorded, which
 // is counted as a loss; all methods of a nil Query do nothing.
 func (r *Recorder) Begin(now time.Duration, s Start) *Query {
