Say once what traces and their tools did twice; no behaviour changes

The recorder had two ways to settle a query, one of them only so as not to make room again: settling moves bytes and adds none, so one serves. An attempt's end was handed to its trace by both Ended and finish; finish does it, and is told whether it won. Segments were decoded in three places, now by otlp.ReadSegment; loft's shares and the bench's build in two.

--- a/bench/outage_test.go
+++ b/bench/outage_test.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"testing"
@@ -47,10 +45,7 @@
 	}
 	program := os.Getenv("KITELOFT_PROGRAM") // another build, to compare
 	if program == "" {
-		program = filepath.Join(t.TempDir(), "kiteloft")
-		if out, err := exec.Command("go", "build", "-o", program, "../cmd/kiteloft").CombinedOutput(); err != nil {
-			t.Fatalf("%v\n%s", err, out)
-		}
+		program = build(t)
 	}
 	dir := standin.NewDirectory()
 	defer dir.Close()
--- a/bench/process_test.go
+++ b/bench/process_test.go
@@ -31,10 +31,7 @@
 	if os.Getenv("KITELOFT_MEASURE") == "" {
 		t.Skip("a measurement: make measure-traces")
 	}
-	program := filepath.Join(t.TempDir(), "kiteloft")
-	if out, err := exec.Command("go", "build", "-o", program, "../cmd/kiteloft").CombinedOutput(); err != nil {
-		t.Fatalf("%v\n%s", err, out)
-	}
+	program := build(t)
 	var members []standin.Member
 	for i := range nodeCount {
 		n := standin.NewNode(fmt.Sprintf("s-%02d", i), func(p standin.Part) standin.Reply {
@@ -73,6 +70,16 @@
 		median(sums[true], memory)-median(sums[false], memory))
 }
 
+// build builds the program and returns its path.
+func build(t *testing.T) string {
+	t.Helper()
+	program := filepath.Join(t.TempDir(), "kiteloft")
+	if out, err := exec.Command("go", "build", "-o", program, "../cmd/kiteloft").CombinedOutput(); err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	return program
+}
+
 func measure(t *testing.T, program string, members []standin.Member, traced bool) (cpu, memory float64) {
 	t.Helper()
 	dir := standin.NewDirectory(members...)
--- a/cmd/kiteloft/traces_test.go
+++ b/cmd/kiteloft/traces_test.go
@@ -11,9 +11,6 @@
 	"testing"
 	"time"
 
-	trace "go.opentelemetry.io/proto/otlp/trace/v1"
-	"google.golang.org/protobuf/proto"
-
 	"kiteloft/internal/otlp"
 	"kiteloft/internal/segments"
 	"kiteloft/internal/standin"
@@ -51,19 +48,13 @@
 	}
 	all := map[string]*otlp.Trace{}
 	for _, path := range list {
-		err := segments.Read(path, func(b []byte) error {
-			var data trace.TracesData
-			if err := proto.Unmarshal(b, &data); err != nil {
-				return err
-			}
-			traces, lost, strays, err := otlp.Decode(&data)
+		err := otlp.ReadSegment(path, func(traces []*otlp.Trace, lost []otlp.Lost, strays int) {
 			if len(lost) > 0 || strays > 0 {
-				return fmt.Errorf("%d losses, %d strays", len(lost), strays)
+				t.Fatalf("%d losses, %d strays", len(lost), strays)
 			}
 			for _, tr := range traces {
 				all[tr.WireID] = tr
 			}
-			return err
 		})
 		var damage *segments.Damage
 		if err != nil && !(errors.As(err, &damage) && damage.Torn) { // it is being written
--- a/cmd/loft/read.go
+++ b/cmd/loft/read.go
@@ -10,8 +10,6 @@
 	"time"
 
 	"github.com/posener/complete"
-	trace "go.opentelemetry.io/proto/otlp/trace/v1"
-	"google.golang.org/protobuf/proto"
 
 	"kiteloft/internal/otlp"
 	"kiteloft/internal/segments"
@@ -55,7 +53,7 @@
 			}
 		}
 		for _, path := range list {
-			err := segments.Read(path, f.take)
+			err := otlp.ReadSegment(path, f.take)
 			var damage *segments.Damage
 			if errors.As(err, &damage) {
 				bad.list = append(bad.list, damage)
@@ -75,14 +73,8 @@
 	return f, nil
 }
 
-func (f *found) take(b []byte) error {
-	var data trace.TracesData
-	if err := proto.Unmarshal(b, &data); err != nil {
-		return errors.New("a message is not OTLP")
-	}
-	traces, lost, strays, err := otlp.Decode(&data)
-	f.traces, f.lost, f.strays = append(f.traces, traces...), append(f.lost, lost...), f.strays+strays
-	return err
+func (f *found) take(list []*otlp.Trace, lost []otlp.Lost, strays int) {
+	f.traces, f.lost, f.strays = append(f.traces, list...), append(f.lost, lost...), f.strays+strays
 }
 
 func (s *source) fits(t *otlp.Trace, latest time.Time) bool {
--- a/cmd/loft/report.go
+++ b/cmd/loft/report.go
@@ -157,11 +157,7 @@
 	rows, total := costs(list, by)
 	t := costTable{By: by}
 	for _, r := range rows {
-		share := 0.0
-		if total > 0 {
-			share = 100 * float64(r.over) / float64(total)
-		}
-		t.Rows = append(t.Rows, costRow{r.name, span(r.over), fmt.Sprintf("%.1f%%", share), fmt.Sprint(r.queries), fmt.Sprint(r.attempts),
+		t.Rows = append(t.Rows, costRow{r.name, span(r.over), r.share(total), fmt.Sprint(r.queries), fmt.Sprint(r.attempts),
 			fmt.Sprint(r.wrong), r.quantile(0.5), r.quantile(0.99)})
 	}
 	return t
--- a/cmd/loft/tables.go
+++ b/cmd/loft/tables.go
@@ -146,6 +146,11 @@
 	times           *ddsketch.DDSketch // of its answered attempts, in milliseconds; nil: none
 }
 
+// share is the row's part of all the time over wanted.
+func (r *row) share(total time.Duration) string {
+	return fmt.Sprintf("%.1f%%", 100*float64(r.over)/float64(max(total, 1)))
+}
+
 func (r *row) quantile(q float64) string {
 	if r.times == nil {
 		return "-"
@@ -170,11 +175,7 @@
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	fmt.Fprintf(w, "%s\tOVER\tSHARE\tQUERIES\tATTEMPTS\tFAILED\tP50\tP90\tP99\n", strings.ToUpper(c.By))
 	for _, r := range rows {
-		share := 0.0
-		if total > 0 {
-			share = 100 * float64(r.over) / float64(total)
-		}
-		fmt.Fprintf(w, "%s\t%s\t%.1f%%\t%d\t%d\t%d\t%s\t%s\t%s\n", r.name, span(r.over), share, r.queries, r.attempts, r.wrong,
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%d\t%s\t%s\t%s\n", r.name, span(r.over), r.share(total), r.queries, r.attempts, r.wrong,
 			r.quantile(0.5), r.quantile(0.9), r.quantile(0.99))
 	}
 	if err := w.Flush(); err != nil {
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -330,9 +330,9 @@
 	if c.wireIDs[in.WireID] != nil {
 		return Duplicate, nil
 	}
-	// Guards memory, and the module against more than its settings promise.
 	sum := c.sum(in)
 	c.watch.Asked(c.now, in.Repeat, sum)
+	// Guards memory, and the module against more than its settings promise.
 	if most := c.set.Module.MaxOpen; most > 0 && c.held+1+len(in.Parts) > most {
 		c.watch.Ended(c.now, false)
 		return Crowded, nil
@@ -441,7 +441,7 @@
 	for _, p := range q.parts {
 		for _, a := range p.attempts {
 			if !a.over {
-				c.finish(a, decide.Cancelled)
+				c.finish(a, decide.Cancelled, false)
 				c.nodes.GiveUp(a)
 			}
 		}
@@ -463,15 +463,13 @@
 	if won {
 		a.p.in, a.p.score, a.p.value = true, score, value
 	}
-	a.p.q.trace.AttemptOver(a.trace, c.now, tracing.Outcome(o), !o.NeverRan(), won)
-	c.finish(a, o)
+	c.finish(a, o, won)
 }
 
-// finish reports the one outcome of an attempt to the module.
-func (c *Core) finish(a *Attempt, o decide.Outcome) {
-	if a.p.q.trace != nil && o != decide.OK {
-		a.p.q.trace.AttemptOver(a.trace, c.now, tracing.Outcome(o), !o.NeverRan(), false)
-	}
+// finish reports the one outcome of an attempt to the module. Won tells that it gave
+// its part's answer.
+func (c *Core) finish(a *Attempt, o decide.Outcome, won bool) {
+	a.p.q.trace.AttemptOver(a.trace, c.now, tracing.Outcome(o), !o.NeverRan(), won)
 	a.over, a.neverRan = true, o.NeverRan()
 	a.p.out--
 	c.report(a, o)
--- a/internal/broker/step.go
+++ b/internal/broker/step.go
@@ -147,7 +147,7 @@
 	p.out++
 	c.timers.add(stop, func() {
 		if !a.over {
-			c.finish(a, decide.TimedOut)
+			c.finish(a, decide.TimedOut, false)
 			c.nodes.GiveUp(a)
 		}
 	})
@@ -172,7 +172,7 @@
 		return
 	}
 	at := p.attempts[a.Attempt]
-	c.finish(at, decide.Cancelled)
+	c.finish(at, decide.Cancelled, false)
 	c.nodes.GiveUp(at)
 }
 
--- a/internal/otlp/exporter_test.go
+++ b/internal/otlp/exporter_test.go
@@ -11,7 +11,6 @@
 
 	"github.com/rs/zerolog"
 	trace "go.opentelemetry.io/proto/otlp/trace/v1"
-	"google.golang.org/protobuf/proto"
 
 	"kiteloft/internal/otlp"
 	"kiteloft/internal/segments"
@@ -212,17 +211,17 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	var all []*trace.TracesData
+	var got []string
 	for _, path := range list {
-		if err := segments.Read(path, func(b []byte) error {
-			var data trace.TracesData
-			all = append(all, &data)
-			return proto.Unmarshal(b, &data)
+		if err := otlp.ReadSegment(path, func(traces []*otlp.Trace, _ []otlp.Lost, _ int) {
+			for _, tr := range traces {
+				got = append(got, tr.WireID)
+			}
 		}); err != nil {
 			t.Fatal(err)
 		}
 	}
-	if got := ids(all); len(got) != n || got[0] != "0" || got[n-1] != fmt.Sprint(n-1) {
+	if len(got) != n || got[0] != "0" || got[n-1] != fmt.Sprint(n-1) {
 		t.Errorf("%d traces on disk of %d", len(got), n)
 	}
 	if e.Stats().Skipped.Load() == 0 {
--- a/internal/standin/machine.go
+++ b/internal/standin/machine.go
@@ -32,13 +32,12 @@
 	arrived []arrival
 	worst   float64
 	toppled bool
-	served  int
 }
 
 type job struct {
 	id      string
 	work    time.Duration
-	answer  func(Reply)
+	answer  func()
 	stopped bool
 	running *time.Timer
 }
@@ -89,7 +88,7 @@
 	return Reply{Later: func(answer func(Reply)) {
 		m.mu.Lock()
 		defer m.mu.Unlock()
-		j := &job{id: p.ID, work: work, answer: func(Reply) { answer(Sound(p)) }}
+		j := &job{id: p.ID, work: work, answer: func() { answer(Sound(p)) }}
 		m.jobs[p.ID] = j
 		m.queue = append(m.queue, j)
 		m.begin()
@@ -139,10 +138,9 @@
 	}
 	delete(m.jobs, j.id)
 	m.free++
-	m.served++
 	m.begin()
 	m.mu.Unlock()
-	j.answer(Reply{})
+	j.answer()
 }
 
 // Stop ends the work for a part.
--- a/internal/tracing/hold.go
+++ b/internal/tracing/hold.go
@@ -63,7 +63,7 @@
 func (r *Recorder) fit(room int) bool {
 	most := r.cfg.Memory - room
 	for r.bytes > most && r.waiting.len() > 0 {
-		r.settleEarly(r.waiting.pop())
+		r.settle(r.waiting.pop())
 	}
 	for level := range levels {
 		for r.bytes > most && r.degrade(level) {
@@ -72,24 +72,6 @@
 	return r.bytes <= most
 }
 
-// settleEarly decides on a query before its time without making room again.
-func (r *Recorder) settleEarly(q *Query) {
-	if q.Keep == 0 && !r.chosen(q) {
-		r.stats.Passed++
-		r.release(q)
-		return
-	}
-	if q.Keep == 0 {
-		q.Shift = r.classes[q.Class].shift
-		r.stats.Chance++
-	} else {
-		r.stats.Always++
-	}
-	r.unindex(q)
-	q.where = isKept
-	r.kept.push(q)
-}
-
 // degrade takes the next kept trace through a level; false: none is left for it.
 func (r *Recorder) degrade(level int) bool {
 	s := &r.kept
--- a/internal/tracing/recorder.go
+++ b/internal/tracing/recorder.go
@@ -246,11 +246,11 @@
 	r.classes[q.Class].add(q.Keep != 0, q.Spans())
 	if q.Keep != 0 {
 		r.keep(q)
-		return
+	} else {
+		q.where = isWaiting
+		q.due = max(now, min(q.Begin+r.cfg.Classes[q.Class].Deadline, now+maxWait))
+		r.waiting.push(q)
 	}
-	q.where = isWaiting
-	q.due = max(now, min(q.Begin+r.cfg.Classes[q.Class].Deadline, now+maxWait))
-	r.waiting.push(q)
 	r.fit(0)
 }
 
@@ -277,7 +277,6 @@
 	r.unindex(q)
 	q.where = isKept
 	r.kept.push(q)
-	r.fit(0)
 }
 
 // unindex forgets where a query is found by its trace.
