Test a node at its connection cap, and nine calls of discovery in ten failing for 10 s

Change: several processes of the program round the same stand-in nodes and list (crew). A node may hold few connections and turns away all that comes on further ones; discovery may answer only one call in so many, and tells by address what went out.

A first form of the test counted from the log line 'discovery answers again', which a mixer may write before it is lost again: the list's own book of what went out is exact.

--- a/cmd/kiteloft/bed_test.go
+++ b/cmd/kiteloft/bed_test.go
@@ -118,6 +118,7 @@
 	*standin.Directory
 	nodes     []*standIn
 	members   []member
+	discovery string // address at which it asks, where mixers have one each
 	collector string // of flows; "": they are not exported
 	extra     string // more of deploy/broker.toml
 	sockets   int    // 0: 1024
--- a/internal/standin/directory.go
+++ b/internal/standin/directory.go
@@ -25,19 +25,21 @@
 type Directory struct {
 	mu       sync.Mutex
 	revision int
-	down     bool
+	fails    int // of so many calls one is answered; 0: all are, negative: none is
 	asked    []time.Time
 	answered []time.Time
 	members  []Member
 	changed  map[string]int // revision of each member's latest change
 	news     chan struct{}
 	calls    map[string]int // by the address called
+	told     map[string]int // the latest revision that went out, by the address called
 	servers  []*httptest.Server
 }
 
 // NewDirectory returns a Directory that lists the members.
 func NewDirectory(members ...Member) *Directory {
-	return &Directory{revision: 1, members: members, changed: map[string]int{}, news: make(chan struct{}), calls: map[string]int{}}
+	return &Directory{revision: 1, members: members, changed: map[string]int{}, news: make(chan struct{}), calls: map[string]int{},
+		told: map[string]int{}}
 }
 
 // Serve listens at one more address and returns it.
@@ -75,7 +77,7 @@
 		d.mu.Lock()
 		news := d.news
 		d.answered[n] = time.Now()
-		if d.down {
+		if d.fails < 0 || d.fails > 0 && n%d.fails > 0 {
 			d.mu.Unlock()
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
@@ -87,6 +89,7 @@
 					list = append(list, m)
 				}
 			}
+			d.told[r.Host] = d.revision
 			out, err := json.Marshal(map[string]any{"revision": d.revision, "complete": from == 0, "members": list})
 			d.mu.Unlock()
 			if err == nil {
@@ -132,7 +135,17 @@
 func (d *Directory) SetDown(down bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.down = down
+	d.fails = 0
+	if down {
+		d.fails = -1
+	}
+}
+
+// SetFailing has only one call in so many answered, the others by 503; 0: all are.
+func (d *Directory) SetFailing(oneIn int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.fails = oneIn
 }
 
 // Members are the entries, as they are now.
@@ -149,6 +162,13 @@
 	return d.calls[addr]
 }
 
+// Told reports whether all that is listed now has gone out from an address.
+func (d *Directory) Told(addr string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.told[addr] == d.revision
+}
+
 // Asked tells when each call came, and when its answer went as far as it has.
 func (d *Directory) Asked() (asked, answered []time.Time) {
 	d.mu.Lock()
--- a/internal/standin/frames.go
+++ b/internal/standin/frames.go
@@ -43,6 +43,8 @@
 }
 
 func (n *Node) serveFrames(c net.Conn, link int) {
+	came, went := n.Connections()
+	crowded := n.MostLinks > 0 && came-went > n.MostLinks
 	var mu sync.Mutex
 	send := func(letter byte, rest string) {
 		mu.Lock()
@@ -70,7 +72,10 @@
 			var p Part
 			p, rest = readPart(rest)
 			p.Link, p.First = link, first
-			do := n.take(p)
+			do := Reply{End: 'B'}
+			if !crowded {
+				do = n.take(p)
+			}
 			answer := func(do Reply) {
 				switch do.End {
 				case 0:
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -51,6 +51,8 @@
 	// Probed tells whether a probe on a connection, by its number, is answered; nil: none
 	// is.
 	Probed func(link int) bool
+	// MostLinks is how many connections may be open at once; on a further one, all is turned away. 0: any number.
+	MostLinks int
 	// Forgets has parts not kept, for long runs.
 	Forgets bool
 	// Stops is told of each part that the mixer gives up; it may be nil.
