Membership as a pure machine: one view that bears pauses, loss and one-sided cuts

Need: a mixer knows of the others by a number in its settings only, so what all share is split by a wrong number as soon as most die; agreed settings and leaving zones need a view of who is there.

Change: internal/fleet/member. Shares of common budgets shrink at once and grow after all had time to learn; whoever is cut off uses half, before the others hold it as gone, and they leave it that half. Duties by rendezvous hashing, with a fence.

What the tests found first: a process that hears nothing doubts all aloud and made all others feel cut off (what one sees itself now counts before what others say); two parts of a fleet cut twice both held a majority, as gone members left the count (the base now keeps them); shares added up to 1.02, 1.006 and 1.001 where a view that lagged had a larger share than the others left for it (growth waits, the kept part travels with the verdict).

--- /dev/null
+++ b/internal/fleet/member/gossip.go
@@ -0,0 +1,132 @@
+package member
+
+import (
+	"math/bits"
+	"slices"
+	"strings"
+	"time"
+)
+
+// update is something that others are told until they have been told often enough.
+type update struct{ sends int }
+
+// heardNews is a word that has come.
+type heardNews struct {
+	News
+	at time.Duration
+}
+
+func recordKey(id string) string                { return "r/" + id }
+func doubtKey(subject, observer string) string  { return "d/" + subject + "\x00" + observer }
+func newsKey(key string) string                 { return "n/" + key }
+func splitDoubtKey(key string) (string, string) { s, o, _ := strings.Cut(key[2:], "\x00"); return s, o }
+
+// enqueue has others told of something, from the beginning if they are being told.
+func (m *Machine) enqueue(key string) {
+	if m.queue[key] == nil {
+		m.queue[key] = &update{}
+		m.fresh = append(m.fresh, key)
+		return
+	}
+	m.queue[key].sends = 0
+}
+
+// fill adds updates to a message: those not sent yet first, then the others in turn.
+func (m *Machine) fill(msg *Message) {
+	most := resend * (1 + bits.Len(uint(m.Alive())))
+	for range min(perMessage, len(m.fresh)+len(m.line)) {
+		var key string
+		if len(m.fresh) > 0 {
+			key, m.fresh = m.fresh[0], m.fresh[1:]
+		} else {
+			key, m.line = m.line[0], m.line[1:]
+		}
+		u := m.queue[key]
+		if !m.put(msg, key) {
+			delete(m.queue, key)
+			continue
+		}
+		if u.sends++; u.sends >= most {
+			delete(m.queue, key)
+			continue
+		}
+		m.line = append(m.line, key)
+	}
+}
+
+// put adds one update to a message, as it is now.
+func (m *Machine) put(msg *Message, key string) bool {
+	switch key[0] {
+	case 'r':
+		if key[2:] == m.c.ID {
+			msg.Records = append(msg.Records, m.self)
+			return m.seated()
+		}
+		p := m.peers[key[2:]]
+		if p == nil {
+			return false
+		}
+		r := p.Record
+		if r.State != Alive {
+			r.Age = m.now - p.goneAt
+		}
+		msg.Records = append(msg.Records, r)
+	case 'd':
+		subject, observer := splitDoubtKey(key)
+		held, _ := m.doubtsOf(subject)
+		d := held[observer]
+		if d == nil {
+			return false
+		}
+		said := d.Doubt
+		said.Heard = m.now - d.heardAt
+		msg.Doubts = append(msg.Doubts, said)
+	case 'n':
+		n := m.news[key[2:]]
+		if n == nil {
+			return false
+		}
+		msg.News = append(msg.News, n.News)
+	}
+	return true
+}
+
+// spread pushes what others have not been told to a few of them.
+func (m *Machine) spread() {
+	if len(m.queue) == 0 || m.now < m.gossipAt {
+		return
+	}
+	m.gossipAt = m.now + m.periods(gossipPace)
+	for _, p := range m.pick(gossipFan, func(p *peer) bool { return p.State == Alive }) {
+		if len(m.queue) > 0 {
+			m.send(p, Message{Kind: Push})
+		}
+	}
+}
+
+// Announce tells all members something, once. Of one key, the latest word counts.
+func (m *Machine) Announce(now time.Duration, key string, body []byte) {
+	m.step(now)
+	m.newsStamp++
+	m.keepNews(News{Key: key, Origin: m.c.ID, Stamp: m.newsStamp, Body: body})
+}
+
+func (m *Machine) mergeNews(n News) {
+	if n.Origin == m.c.ID || m.peers[n.Origin] == nil {
+		return
+	}
+	if old := m.news[n.Key]; old != nil && old.Origin == n.Origin && old.Stamp >= n.Stamp {
+		return
+	}
+	m.keepNews(n)
+	m.out.News = append(m.out.News, n)
+}
+
+func (m *Machine) keepNews(n News) {
+	m.news[n.Key] = &heardNews{n, m.now}
+	m.enqueue(newsKey(n.Key))
+	if len(m.news) > mostNews { // guards memory: the oldest has long been told
+		oldest := slices.MinFunc(sortedKeys(m.news), func(a, b string) int { return int(m.news[a].at - m.news[b].at) })
+		delete(m.news, oldest)
+	}
+}
--- /dev/null
+++ b/internal/fleet/member/member.go
@@ -0,0 +1,465 @@
+// Package member keeps a mixer's view of the fleet: who is there, who is doubted, who
+// is gone, and whether this mixer itself is cut off. It is a pure state machine: the
+// caller owns the clock, the sockets and the randomness (by a seed), hands in what
+// came and what time it is, and carries out what Take returns. All times are of one
+// monotonic clock of the caller's; none is compared between processes: what travels is
+// always an age.
+//
+// How it works, and why it holds, is in docs/design/membership.md.
+package member
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// State is what a view holds of a member.
+type State uint8
+
+// The states. Doubted is never told to others: each view derives it from doubts.
+const (
+	Alive   State = iota
+	Doubted       // enough observers don't hear it; it may refute that
+	Gone          // nobody heard it for too long, or its machine refuses connections
+	Left          // it said that it ends
+)
+
+var stateNames = [...]string{"alive", "doubted", "gone", "left"}
+
+func (s State) String() string { return stateNames[s] }
+
+// Life orders what is said of a member: Generation counts the starts under its name,
+// Turn what it has said of itself since.
+type Life struct{ Generation, Turn uint32 }
+
+// Before reports whether l is older than o.
+func (l Life) Before(o Life) bool {
+	return l.Generation < o.Generation || l.Generation == o.Generation && l.Turn < o.Turn
+}
+
+// Record is what is told of a member.
+type Record struct {
+	ID, Zone, Addr string
+	Instance       uint64 // drawn at its start: tells two processes of one name apart
+	Life           Life
+	State          State         // Alive, Gone or Left
+	Proved         bool          // gone for certain: its machine refuses connections
+	Ready          bool          // it has been there for long enough to own duties and take its full share
+	Age            time.Duration // since when it is gone or left
+	Kept           float64       // gone in silence: what it may still use of shared budgets, as the largest of all views has it
+}
+
+// Doubt is one observer's word that it does not hear a member.
+type Doubt struct {
+	Subject  string
+	Life     Life // the subject's
+	Observer string
+	Stamp    uint32        // counts what the observer has said of the subject
+	Heard    time.Duration // how long ago it last heard it
+	Refused  bool          // the subject's machine refuses connections
+	Over     bool          // it hears it again
+}
+
+// News is a word that all are told once. Of one key and origin, the latest stamp counts.
+type News struct {
+	Key, Origin string
+	Stamp       uint64
+	Body        []byte
+}
+
+// Kind is what a message is for.
+type Kind uint8
+
+// The kinds. Sync and SyncBack travel over a connection, the others as datagrams.
+const (
+	Ping     Kind = iota + 1 // answered by an Ack with the same Seq
+	Ack                      // a round trip: each side hears the other
+	Ask                      // please ping Subject for me
+	Relayed                  // Subject has answered your Ask
+	Push                     // carries updates only
+	Sync                     // all that the sender knows; answered by SyncBack
+	SyncBack                 // the same, back
+)
+
+// Message is what mixers say to each other.
+type Message struct {
+	Kind     Kind
+	From     string
+	Instance uint64 // the sender's
+	To       string // "": whoever it is
+	Target   uint64 // the instance that is meant; 0: any
+	Seq      uint64
+	Subject  string // Ask, Relayed
+	Digest   uint64 // of the sender's view
+	Records  []Record
+	Doubts   []Doubt
+	News     []News
+}
+
+// Config is what a machine is told at its start.
+type Config struct {
+	ID, Zone, Addr string
+	Instance       uint64 // not 0
+	Generation     uint32 // the last one known under this name; 0: none
+	Period         time.Duration
+	Forget         time.Duration // when a gone member is forgotten
+	Expected       int           // mixers that the settings name
+	Seed           uint64
+	Seeds          []string // addresses that are asked at the start
+	Known          []Record // members known from before; they are asked too
+}
+
+// Figures of the protocol, in periods unless said otherwise. docs/design/membership.md
+// derives them.
+const (
+	observers   = 8   // members that watch one member, and that one member watches
+	helpers     = 3   // members asked to ping in our place
+	directWait  = 0.4 // an answer later than this has helpers asked
+	dialAfter   = 2.0 // silent for so long: a connection is tried
+	doubtAfter  = 3.0 // silent for so long: doubted aloud
+	aloneAfter  = 4.0 // a majority silent for so long: we are cut off ourselves
+	goneAfter   = 4.8 // silent to all for so long: gone
+	doubtLasts  = 12  // a doubt that is not said again is dropped
+	doubtAgain  = 5   // and it is said again so often
+	pace        = 0.1 // between two looks at what is due
+	gapAfter    = 0.5 // a look so late shows that we stood still
+	seqLasts    = 4.0 // an answer may be so late and still count
+	gossipPace  = 0.2 // between two rounds of pushes
+	gossipFan   = 2   // members pushed to in a round
+	syncPace    = 2.0 // between two full exchanges that we begin because views differ
+	joinPace    = 1.0 // between two rounds of asking seeds
+	backAfter   = 4.0 // back from a cut, a member waits so long for what it missed
+	aloneTries  = 5   // rounds in vain after which nobody seems to be there
+	perMessage  = 20  // updates in a datagram
+	resend      = 3   // times log2 of the fleet that an update is sent
+	mostNews    = 256 // words remembered
+	keptShare   = 0.5 // what an isolated member goes on using of its share
+	mostMembers = 4096
+	forever     = time.Duration(1<<63 - 1)
+)
+
+// Target is somebody to send to.
+type Target struct {
+	ID, Addr string
+}
+
+// Envelope is a message to send as a datagram.
+type Envelope struct {
+	Target
+	Message Message
+}
+
+// Exchange is a full exchange to begin over a connection. Its end comes back by
+// Exchanged, Unreached or Refused.
+type Exchange struct {
+	Target
+	Message Message
+}
+
+// Change is a change of a member's state in this view.
+type Change struct {
+	At        time.Duration
+	ID        string
+	From, To  State
+	New       bool // it was not known before
+	Life      Life
+	Cause     string
+	Observers []string // whose doubts it rests on
+}
+
+// Out is what the caller has to carry out.
+type Out struct {
+	Send      []Envelope
+	Exchanges []Exchange
+	Changes   []Change
+	News      []News
+	Stop      string // not "": this process has to end, and why
+}
+
+// peer is what we know of another member.
+type peer struct {
+	Record
+	shown   State // as last told to the caller
+	changed time.Duration
+	lifeAt  time.Duration
+	goneAt  time.Duration
+	rings   [observers]uint64
+	doubts  map[string]*doubt
+
+	// As its observer.
+	heard     time.Duration // last round trip
+	spoke     time.Duration // last message, heard or not
+	since     time.Duration // since when we watch it
+	pingAt    time.Duration
+	asked     bool // helpers have been asked for the last ping
+	pinged    time.Duration
+	lastSeq   uint64 // of our latest ping
+	path      string // the helper by whom it was last reached
+	dialAt    time.Duration
+	refused   bool
+	mine      *Doubt // what we say of it
+	saidAt    time.Duration
+	stamp     uint32
+	differs   time.Duration // since when its view differs from ours; 0: it does not
+	observed  bool
+	doubted   bool // somebody doubts it
+	forgotten bool
+	mark      uint64 // what it adds to the digest
+}
+
+type doubt struct {
+	Doubt
+	heardAt time.Duration
+	at      time.Duration
+}
+
+// Machine is one mixer's view.
+type Machine struct {
+	c       Config
+	rng     *rand.Rand
+	now     time.Duration
+	born    time.Duration
+	self    Record
+	rings   [observers]uint64
+	peers   map[string]*peer
+	order   []string // ids, sorted
+	alive   int      // members deemed alive, this one among them
+	rewatch bool     // whom we watch has to be chosen anew
+	watch   []string // those that we observe
+	watched []*peer  // the same
+
+	woke      time.Duration // when we last began after a gap, or at all
+	looked    time.Duration
+	isolated  bool
+	isoSince  time.Duration
+	backAt    time.Duration // from when on our share is whole again after that
+	expireAt  time.Duration
+	baseSize  int
+	partNow   float64
+	wholePart float64 // our share when we were last whole
+	cap       float64 // what our share may be by now
+	lastPart  float64 // what it will be, and from when on
+	growAt    time.Duration
+	high      float64 // the largest that it was of late, and when
+	highAt    time.Duration
+	readyAt   time.Duration
+	joined    bool // somebody has taken us in, or nobody is there
+	joinAt    time.Duration
+	joinTries int
+	leaving   bool
+	refuteAt  time.Duration
+	gossipAt  time.Duration
+	syncAt    time.Duration
+	strayAt   time.Duration
+	stray     int
+	seq       uint64
+	pending   map[uint64]pending
+	queue     map[string]*update
+	fresh     []string          // keys of the queue that were not sent yet
+	line      []string          // and of the others, in turn
+	against   map[string]*doubt // what is held against us, by observer
+	news      map[string]*heardNews
+	newsStamp uint64
+	contest   contest
+	digest    uint64
+	stale     bool // the digest is
+	out       Out
+}
+
+// pending is a ping that has not been answered.
+type pending struct {
+	id     string
+	at     time.Duration
+	behalf string // the member that asked for it; "": we did
+	seq    uint64 // its number there
+}
+
+// New returns a machine. Seeds are asked at the first Tick.
+func New(c Config, now time.Duration) *Machine {
+	m := &Machine{c: c, rng: rand.New(rand.NewPCG(c.Seed, c.Instance)), now: now, born: now, woke: now, looked: now,
+		peers: map[string]*peer{}, pending: map[uint64]pending{}, queue: map[string]*update{}, against: map[string]*doubt{}, news: map[string]*heardNews{}, stale: true}
+	m.self = Record{ID: c.ID, Zone: c.Zone, Addr: c.Addr, Instance: c.Instance, Life: Life{Generation: c.Generation + 1}}
+	for _, r := range c.Known {
+		if r.ID != c.ID && r.Addr != "" {
+			m.c.Seeds = append(m.c.Seeds, r.Addr)
+		}
+	}
+	slices.Sort(m.c.Seeds)
+	m.c.Seeds = slices.DeleteFunc(slices.Compact(m.c.Seeds), func(a string) bool { return a == c.Addr })
+	m.seq, m.alive = m.rng.Uint64()>>16, 1
+	m.rings = ringsOf(c.ID)
+	return m
+}
+
+func (m *Machine) periods(n float64) time.Duration { return time.Duration(n * float64(m.c.Period)) }
+
+// Next is when Tick wants to be called at the latest.
+func (m *Machine) Next() time.Duration { return m.looked + m.periods(pace) }
+
+// Take returns what there is to do, and forgets it.
+func (m *Machine) Take() Out {
+	out := m.out
+	m.out = Out{}
+	return out
+}
+
+// Tick looks at what is due. After a gap, nothing that others said meanwhile counts as
+// silence: it may wait in our own buffers.
+func (m *Machine) Tick(now time.Duration) {
+	m.step(now)
+	if m.looked = m.now; m.leaving {
+		return
+	}
+	m.expire()
+	if m.rewatch {
+		m.choose()
+	}
+	m.join()
+	m.probe()
+	m.judge()
+	m.contend()
+	m.spread()
+}
+
+// step takes the time, and notices gaps.
+func (m *Machine) step(now time.Duration) {
+	now = max(now, m.now)
+	if now-m.looked > m.periods(gapAfter) {
+		m.woke = now
+		for id, p := range m.pending { // their answers are late by our own fault
+			p.at = now
+			m.pending[id] = p
+		}
+	}
+	m.now = now
+}
+
+// Receive takes a datagram's message.
+func (m *Machine) Receive(now time.Duration, msg Message) {
+	m.step(now)
+	if m.leaving || msg.To != "" && msg.To != m.c.ID || msg.Target != 0 && msg.Target != m.c.Instance {
+		return // meant for whoever had this address or name before us
+	}
+	if msg.From == m.c.ID {
+		m.rival(msg)
+		return
+	}
+	p := m.peers[msg.From]
+	if msg.Kind == Ping {
+		m.answer(msg, p)
+	}
+	if p == nil || p.Instance != msg.Instance {
+		return // guards against a datagram of long ago: whoever is new comes by a full exchange
+	}
+	p.spoke = m.now
+	m.merge(msg)
+	switch msg.Kind {
+	case Ack:
+		m.acked(msg)
+	case Ask:
+		if s := m.peers[msg.Subject]; s != nil {
+			m.ping(s, msg.From, msg.Seq)
+		}
+	case Relayed:
+		if w, ok := m.pending[msg.Seq]; ok && w.id == msg.Subject && w.behalf == "" {
+			if s := m.peers[msg.Subject]; s != nil {
+				s.path = msg.From
+				m.hear(s)
+			}
+		}
+	}
+	m.compare(p, msg.Digest)
+}
+
+// Served answers a full exchange that another mixer began.
+func (m *Machine) Served(now time.Duration, msg Message) Message {
+	m.step(now)
+	if msg.From == m.c.ID {
+		m.rival(msg)
+	} else if !m.leaving {
+		m.mergeAll(msg)
+	}
+	return m.full(SyncBack, msg.Seq)
+}
+
+// Exchanged takes the answer to a full exchange that we began with somebody.
+func (m *Machine) Exchanged(now time.Duration, with Target, msg Message) {
+	m.step(now)
+	m.mergeAll(msg)
+	if msg.From == m.c.ID {
+		return // a seed of ours lives under our name; what it says of itself has opened a contest
+	}
+	m.joinTries = 0
+	if p := m.peers[msg.From]; p != nil && p.Instance == msg.Instance {
+		m.hear(p)
+		p.differs = 0
+	}
+	if !m.contest.open {
+		m.takeSeat()
+	}
+}
+
+// Refused says that a machine refused the connection: no process is there.
+func (m *Machine) Refused(now time.Duration, with Target) {
+	m.step(now)
+	if p := m.peers[with.ID]; p != nil && p.Addr == with.Addr && m.now-m.woke >= m.periods(pace) {
+		p.refused = true
+	}
+}
+
+// Leave says to all that this member ends. The machine does nothing more.
+func (m *Machine) Leave(now time.Duration) {
+	m.step(now)
+	if m.leaving || !m.joined {
+		m.leaving = true
+		return
+	}
+	m.leaving = true
+	m.self.Life.Turn++
+	m.self.State = Left
+	m.stale = true
+	to := m.pick(2*observers, func(p *peer) bool { return p.State == Alive })
+	for range 2 { // one of them may be lost
+		for _, p := range to {
+			m.send(p, Message{Kind: Push, Records: []Record{m.self}})
+		}
+	}
+}
+
+// send posts a datagram to a member; updates are added to it.
+func (m *Machine) send(p *peer, msg Message) {
+	msg.From, msg.Instance, msg.To, msg.Digest = m.c.ID, m.c.Instance, p.ID, m.viewDigest()
+	m.fill(&msg)
+	m.out.Send = append(m.out.Send, Envelope{Target{p.ID, p.Addr}, msg})
+}
+
+// full is a message of all that we know.
+func (m *Machine) full(kind Kind, seq uint64) Message {
+	msg := Message{Kind: kind, From: m.c.ID, Instance: m.c.Instance, Seq: seq, Digest: m.viewDigest()}
+	if m.seated() {
+		msg.Records = append(msg.Records, m.self)
+	}
+	for _, id := range m.order {
+		p := m.peers[id]
+		if p.forgotten {
+			continue
+		}
+		r := p.Record
+		if r.State != Alive {
+			r.Age = m.now - p.goneAt
+		}
+		msg.Records = append(msg.Records, r)
+		for _, name := range sortedKeys(p.doubts) {
+			d := p.doubts[name].Doubt
+			d.Heard = m.now - p.doubts[name].heardAt
+			msg.Doubts = append(msg.Doubts, d)
+		}
+	}
+	return msg
+}
+
+// exchange begins a full exchange.
+func (m *Machine) exchange(t Target) {
+	m.out.Exchanges = append(m.out.Exchanges, Exchange{t, m.full(Sync, 0)})
+}
--- /dev/null
+++ b/internal/fleet/member/share.go
@@ -0,0 +1,128 @@
+package member
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Whole reports whether a majority is within reach; until is when that has to be asked
+// again at the latest. It looks at the clock that it is given, not at the last Tick: a
+// process that stood still is not whole when it wakes.
+func (m *Machine) Whole(now time.Duration) (whole bool, until time.Duration) {
+	until = m.lease()
+	return m.joined && !m.leaving && !m.contest.open && !m.isolated && now < until, until
+}
+
+// Share is what this mixer may use of a budget that all mixers share, from 0 to 1. The
+// sum over all processes that live, whatever each of them knows, stays at 1 or under:
+// one that becomes known is counted at once by all and begins when all have counted it;
+// one that is cut off takes half of its share before the others, who leave it that half,
+// hold it as gone; those that were never seen keep what the settings give them.
+func (m *Machine) Share(now time.Duration) float64 {
+	if !m.joined || m.leaving || m.contest.open || !m.self.Ready {
+		return 0
+	}
+	if whole, _ := m.Whole(now); !whole || now < m.backAt {
+		if m.isolated && now-m.isoSince > m.c.Forget/2 {
+			return 0 // the others may have forgotten us
+		}
+		return keptShare * m.wholePart
+	}
+	return min(m.cap, m.part())
+}
+
+// settle lets our share grow once all have had the time to learn why: whoever of them has
+// not is cut off by then and uses less. It shrinks at once. The largest that it
+// was to be of late is what somebody who was cut off may have.
+func (m *Machine) settle() {
+	now := m.part()
+	if now != m.lastPart {
+		m.lastPart, m.growAt = now, m.now+m.settled()
+	}
+	if now < m.cap || m.now >= m.growAt {
+		m.cap = now
+	}
+	if now >= m.high || m.now-m.highAt > m.periods(goneAfter)+2*m.settled() {
+		m.high, m.highAt = now, m.now
+	}
+}
+
+// part is a member's share as this view has it.
+func (m *Machine) part() float64 {
+	m.freshen()
+	return m.partNow
+}
+
+// Owner is the member that has a duty: one of the zone, if any is there. "": nobody
+// can be named.
+func (m *Machine) Owner(zone, key string) string {
+	owner, best, near := "", uint64(0), false
+	consider := func(r Record) {
+		if r.State != Alive || !r.Ready {
+			return
+		}
+		here := zone != "" && r.Zone == zone
+		if near && !here {
+			return
+		}
+		if h := hash(r.ID+"\x00"+key, 0); owner == "" || here && !near || h > best {
+			owner, best, near = r.ID, h, here
+		}
+	}
+	consider(m.self)
+	for _, id := range m.order {
+		consider(m.peers[id].Record)
+	}
+	return owner
+}
+
+// Mine reports whether a duty is this mixer's, and until when it may act on that without
+// asking again. Two never hold one at once: who takes it over waits until the other has
+// lost it by its own clock, or said so.
+func (m *Machine) Mine(now time.Duration, zone, key string) (bool, time.Duration) {
+	whole, until := m.Whole(now)
+	if !whole || !m.self.Ready || now < m.backAt || now < m.readyAt+m.settled() || m.Owner(zone, key) != m.c.ID {
+		return false, 0
+	}
+	return true, until
+}
+
+// Entry is a member as this view has it.
+type Entry struct {
+	Record
+	State  State
+	Since  time.Duration // when it came to that
+	Doubts []string      // who doubts it
+	Heard  time.Duration // when we last had a round trip with it; 0: we never had
+	Self   bool
+}
+
+// View is all members, by id.
+func (m *Machine) View() []Entry {
+	list := []Entry{{Record: m.self, State: m.self.State, Since: m.isoSince, Doubts: sortedKeys(m.against), Heard: m.now, Self: true}}
+	if m.isolated {
+		list[0].State = Doubted
+	}
+	for _, id := range m.order {
+		p := m.peers[id]
+		if p.forgotten {
+			continue
+		}
+		e := Entry{Record: p.Record, State: p.shown, Since: p.changed, Heard: p.heard}
+		for _, name := range sortedKeys(p.doubts) {
+			if !p.doubts[name].Over {
+				e.Doubts = append(e.Doubts, name)
+			}
+		}
+		list = append(list, e)
+	}
+	slices.SortFunc(list, func(a, b Entry) int { return cmp.Compare(a.ID, b.ID) })
+	return list
+}
+
+// Isolated reports whether this mixer deems itself cut off.
+func (m *Machine) Isolated() bool { return m.isolated }
+
+// Self is this mixer's own record.
+func (m *Machine) Self() Record { return m.self }
