--- /dev/null
+++ b/internal/fleet/link/codec.go
@@ -0,0 +1,343 @@
+// Package link carries what mixers say to each other: datagrams, and full exchanges
+// over connections. The decisions are member's; here are the encoding, the keys, the
+// snapshot and the core's timers.
+package link
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"math"
+	"os"
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protowire"
+
+	"kiteloft/internal/fleet/member"
+)
+
+// What is said is a protobuf message behind a header: one byte for the form, four that
+// name the key, sixteen of the message's HMAC-SHA256. Fields that a program does not
+// know are passed over, so that older and newer ones live together.
+const (
+	form        = 1
+	keyName     = 4
+	digestSize  = 16
+	headerSize  = 1 + keyName + digestSize
+	maxDatagram = 4 << 10
+	maxExchange = 4 << 20
+	maxName     = 128
+	leastKey    = 16
+	maxRecords  = 8192
+)
+
+// Field numbers. They are never used again for something else.
+const (
+	fFleet protowire.Number = iota + 1
+	fKind
+	fFrom
+	fInstance
+	fTo
+	fTarget
+	fSeq
+	fSubject
+	fDigest
+	fCount
+	fRecord
+	fDoubt
+	fNews
+	fAnswer
+)
+
+// Kinds of the link's own, beside member's.
+const (
+	kindAsk    member.Kind = 64 // an operator's tool asks for the view
+	kindAnswer member.Kind = 65
+)
+
+// Keys sign and check what is said. The first signs; all are accepted, so that a key can
+// be changed while the fleet runs: add the new one at the end everywhere, then put it
+// first everywhere, then drop the old one.
+type Keys [][]byte
+
+// ReadKeys reads a key file: a key a line, 16 bytes at least; empty lines and those that
+// begin with # don't count.
+func ReadKeys(path string) (Keys, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	var keys Keys
+	for i, line := range strings.Split(string(text), "\n") {
+		if line = strings.TrimSpace(line); line == "" || line[0] == '#' {
+			continue
+		}
+		if len(line) < leastKey {
+			return nil, fmt.Errorf("%s: line %d: a key has %d bytes at least", path, i+1, leastKey)
+		}
+		keys = append(keys, []byte(line))
+	}
+	if len(keys) == 0 || len(keys) > 2 {
+		return nil, fmt.Errorf("%s: %d keys, want one or two", path, len(keys))
+	}
+	return keys, nil
+}
+
+func nameOf(key []byte) [keyName]byte {
+	sum := sha256.Sum256(append([]byte("kiteloft key "), key...))
+	return [keyName]byte(sum[:])
+}
+
+func digestOf(key, body []byte) []byte {
+	h := hmac.New(sha256.New, key)
+	_, _ = h.Write([]byte{form}) // never fails
+	_, _ = h.Write(body)
+	return h.Sum(nil)[:digestSize]
+}
+
+func (k Keys) seal(body []byte) []byte {
+	name := nameOf(k[0])
+	b := append([]byte{form}, name[:]...)
+	return append(append(b, digestOf(k[0], body)...), body...)
+}
+
+// Errors of what came.
+var (
+	errForeign  = errors.New("signed with no key of ours")
+	errBroken   = errors.New("can't be read")
+	errStranger = errors.New("of another fleet")
+)
+
+// open checks what came and returns the message's bytes.
+func (k Keys) open(b []byte) ([]byte, error) {
+	if len(b) < headerSize || b[0] != form {
+		return nil, errBroken
+	}
+	for _, key := range k {
+		if name := nameOf(key); string(name[:]) == string(b[1:1+keyName]) &&
+			hmac.Equal(digestOf(key, b[headerSize:]), b[1+keyName:headerSize]) {
+			return b[headerSize:], nil
+		}
+	}
+	return nil, errForeign
+}
+
+// packet is a message with what the link adds.
+type packet struct {
+	member.Message
+	fleet  string
+	count  uint64 // of what this instance has said
+	answer []byte // to an operator's tool
+}
+
+func putString(b []byte, n protowire.Number, s string) []byte {
+	if s == "" {
+		return b
+	}
+	return protowire.AppendString(protowire.AppendTag(b, n, protowire.BytesType), s)
+}
+
+func putBytes(b []byte, n protowire.Number, v []byte) []byte {
+	if v == nil {
+		return b
+	}
+	return protowire.AppendBytes(protowire.AppendTag(b, n, protowire.BytesType), v)
+}
+
+func putInt(b []byte, n protowire.Number, x uint64) []byte {
+	if x == 0 {
+		return b
+	}
+	return protowire.AppendVarint(protowire.AppendTag(b, n, protowire.VarintType), x)
+}
+
+func flag(b bool) uint64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func millis(d time.Duration) uint64 { return uint64(max(0, d.Milliseconds())) }
+
+// encode writes a packet.
+func (p packet) encode() []byte {
+	b := putString(nil, fFleet, p.fleet)
+	b = putInt(b, fKind, uint64(p.Kind))
+	b = putString(b, fFrom, p.From)
+	b = putInt(b, fInstance, p.Instance)
+	b = putString(b, fTo, p.To)
+	b = putInt(b, fTarget, p.Target)
+	b = putInt(b, fSeq, p.Seq)
+	b = putString(b, fSubject, p.Subject)
+	b = putInt(b, fDigest, p.Digest)
+	b = putInt(b, fCount, p.count)
+	for _, r := range p.Records {
+		v := putString([]byte{}, 1, r.ID)
+		v = putString(putString(v, 2, r.Zone), 3, r.Addr)
+		v = putInt(putInt(putInt(v, 4, r.Instance), 5, uint64(r.Life.Generation)), 6, uint64(r.Life.Turn))
+		v = putInt(putInt(putInt(v, 7, uint64(r.State)), 8, flag(r.Proved)), 9, flag(r.Ready))
+		v = putInt(putInt(v, 10, millis(r.Age)), 11, math.Float64bits(r.Kept))
+		b = putBytes(b, fRecord, v)
+	}
+	for _, d := range p.Doubts {
+		v := putString(putString([]byte{}, 1, d.Subject), 2, d.Observer)
+		v = putInt(putInt(putInt(v, 3, uint64(d.Life.Generation)), 4, uint64(d.Life.Turn)), 5, uint64(d.Stamp))
+		v = putInt(putInt(putInt(v, 6, millis(d.Heard)), 7, flag(d.Refused)), 8, flag(d.Over))
+		b = putBytes(b, fDoubt, v)
+	}
+	for _, n := range p.News {
+		v := putString(putString([]byte{}, 1, n.Key), 2, n.Origin)
+		v = putBytes(putInt(v, 3, n.Stamp), 4, n.Body)
+		b = putBytes(b, fNews, v)
+	}
+	return putBytes(b, fAnswer, p.answer)
+}
+
+// fields calls f with each field of a message that it knows how to read.
+func fields(b []byte, f func(n protowire.Number, x uint64, v []byte) bool) bool {
+	for len(b) > 0 {
+		n, kind, size := protowire.ConsumeTag(b)
+		if size < 0 {
+			return false
+		}
+		b = b[size:]
+		var x uint64
+		var v []byte
+		switch kind {
+		case protowire.VarintType:
+			x, size = protowire.ConsumeVarint(b)
+		case protowire.BytesType:
+			v, size = protowire.ConsumeBytes(b)
+		default:
+			size = protowire.ConsumeFieldValue(n, kind, b)
+		}
+		if size < 0 || !f(n, x, v) {
+			return false
+		}
+		b = b[size:]
+	}
+	return true
+}
+
+func span(x uint64) time.Duration {
+	return time.Duration(min(x, uint64(math.MaxInt64/int64(time.Millisecond)))) * time.Millisecond
+}
+
+// decode reads a packet. What it returns is bounded by the bytes that came.
+func decode(b []byte) (p packet, err error) {
+	sound := true
+	name := func(v []byte) string {
+		sound = sound && len(v) <= maxName
+		return string(v)
+	}
+	whole := fields(b, func(n protowire.Number, x uint64, v []byte) bool {
+		switch n {
+		case fFleet:
+			p.fleet = name(v)
+		case fKind:
+			p.Kind = member.Kind(min(x, 255))
+		case fFrom:
+			p.From = name(v)
+		case fInstance:
+			p.Instance = x
+		case fTo:
+			p.To = name(v)
+		case fTarget:
+			p.Target = x
+		case fSeq:
+			p.Seq = x
+		case fSubject:
+			p.Subject = name(v)
+		case fDigest:
+			p.Digest = x
+		case fCount:
+			p.count = x
+		case fAnswer:
+			p.answer = v
+		case fRecord:
+			var r member.Record
+			sound = sound && fields(v, func(n protowire.Number, x uint64, v []byte) bool { readRecord(&r, n, x, v); return true }) &&
+				len(r.ID) <= maxName && len(r.Zone) <= maxName && len(r.Addr) <= maxName && !math.IsNaN(r.Kept) && r.Kept >= 0 && r.Kept <= 1
+			p.Records = append(p.Records, r)
+		case fDoubt:
+			var d member.Doubt
+			sound = sound && fields(v, func(n protowire.Number, x uint64, v []byte) bool { readDoubt(&d, n, x, v); return true }) &&
+				len(d.Subject) <= maxName && len(d.Observer) <= maxName
+			p.Doubts = append(p.Doubts, d)
+		case fNews:
+			var w member.News
+			sound = sound && fields(v, func(n protowire.Number, x uint64, v []byte) bool { readNews(&w, n, x, v); return true }) &&
+				len(w.Key) <= maxName && len(w.Origin) <= maxName
+			p.News = append(p.News, w)
+		}
+		return sound && len(p.Records) <= maxRecords
+	})
+	if !whole || !sound {
+		return packet{}, errBroken
+	}
+	return p, nil
+}
+
+func readRecord(r *member.Record, n protowire.Number, x uint64, v []byte) {
+	switch n {
+	case 1:
+		r.ID = string(v)
+	case 2:
+		r.Zone = string(v)
+	case 3:
+		r.Addr = string(v)
+	case 4:
+		r.Instance = x
+	case 5:
+		r.Life.Generation = uint32(x)
+	case 6:
+		r.Life.Turn = uint32(x)
+	case 7:
+		r.State = member.State(min(x, 255))
+	case 8:
+		r.Proved = x != 0
+	case 9:
+		r.Ready = x != 0
+	case 10:
+		r.Age = span(x)
+	case 11:
+		r.Kept = math.Float64frombits(x)
+	}
+}
+
+func readDoubt(d *member.Doubt, n protowire.Number, x uint64, v []byte) {
+	switch n {
+	case 1:
+		d.Subject = string(v)
+	case 2:
+		d.Observer = string(v)
+	case 3:
+		d.Life.Generation = uint32(x)
+	case 4:
+		d.Life.Turn = uint32(x)
+	case 5:
+		d.Stamp = uint32(x)
+	case 6:
+		d.Heard = span(x)
+	case 7:
+		d.Refused = x != 0
+	case 8:
+		d.Over = x != 0
+	}
+}
+
+func readNews(w *member.News, n protowire.Number, x uint64, v []byte) {
+	switch n {
+	case 1:
+		w.Key = string(v)
+	case 2:
+		w.Origin = string(v)
+	case 3:
+		w.Stamp = x
+	case 4:
+		w.Body = append([]byte(nil), v...)
+	}
+}
--- /dev/null
+++ b/internal/fleet/link/link.go
@@ -0,0 +1,414 @@
+package link
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"kiteloft/internal/fleet/member"
+	"kiteloft/internal/transport"
+)
+
+const (
+	exchangeTime = time.Second // for a full exchange, from the dial to the answer
+	servedIdle   = 5 * time.Second
+	mostSenders  = 4096 // whose counts are remembered
+	countWindow  = 64   // datagrams of one sender that may overtake each other
+	reportPace   = 10 * time.Second
+)
+
+// Core is what this package needs of the core. All of it runs on the core's goroutine.
+type Core interface {
+	transport.Poster
+	Now() time.Duration
+	After(d time.Duration, fn func())
+}
+
+// Config is how a mixer takes part in a fleet.
+type Config struct {
+	Fleet    string // its name
+	ID, Zone string
+	Listen   string // for datagrams and connections alike
+	Announce string // where others reach us; "": where we listen
+	Keys     Keys
+	Seeds    []string
+	Via      map[string]string // by member: where we reach it, in place of what it announces
+	Snapshot string            // file; "": none
+	Period   time.Duration
+	Forget   time.Duration
+	Expected int
+	Seed     uint64
+}
+
+// Fleet is a mixer's part in a fleet.
+type Fleet struct {
+	core    Core
+	c       Config
+	net     *transport.Net
+	packets *transport.Packets
+	streams *transport.Listener
+	m       *member.Machine
+	log     zerolog.Logger
+	keeper  *keeper
+	count   uint64
+	heard   map[uint64]*sender // by instance
+	bad     map[string]int     // datagrams that were dropped, by why
+	said    time.Duration
+
+	// Changed is called after each look at the fleet, with how many mixers live and what
+	// this one may use of what all share.
+	Changed func(live int, share float64)
+	// News is called with what others announce.
+	News func(n member.News)
+	// Stop is called if this process may not go on.
+	Stop func(why string)
+	live int
+	part float64
+}
+
+// sender is what we remember of one process: which of its datagrams have come.
+type sender struct {
+	last uint64
+	seen uint64 // a bit for each of the latest, the last one lowest
+}
+
+// fresh notes a datagram's number and reports whether it is new.
+func (s *sender) fresh(n uint64) bool {
+	switch {
+	case n > s.last:
+		if shift := n - s.last; shift < countWindow {
+			s.seen = s.seen<<shift | 1
+		} else {
+			s.seen = 1
+		}
+		s.last = n
+		return true
+	case s.last-n >= countWindow, s.seen>>(s.last-n)&1 == 1:
+		return false
+	}
+	s.seen |= 1 << (s.last - n)
+	return true
+}
+
+// New takes part in a fleet from Start on. It listens at once, so that an address that
+// is taken is found before clients are served.
+func New(core Core, net *transport.Net, c Config, log zerolog.Logger) (*Fleet, error) {
+	f := &Fleet{core: core, c: c, net: net, log: log, heard: map[uint64]*sender{}, bad: map[string]int{}}
+	var err error
+	if f.streams, err = net.Listen(c.Listen, func(conn *transport.Conn) transport.Handler { return &served{f: f, conn: conn} }); err != nil {
+		return nil, err
+	}
+	// Datagrams come where connections do, also where the port was left to the system.
+	f.c.Listen = f.streams.Addr().String()
+	if f.packets, err = transport.ListenPackets(core, f.c.Listen, maxDatagram, f.datagram); err != nil {
+		return nil, err
+	}
+	if f.c.Announce == "" {
+		f.c.Announce = f.c.Listen
+	}
+	return f, nil
+}
+
+// Start begins, on the core's goroutine.
+func (f *Fleet) Start() {
+	var old snapshot
+	if f.c.Snapshot != "" {
+		old = load(f.c.Snapshot, f.c.ID, f.log)
+		f.keeper = keep(f.c.Snapshot, f.log)
+	}
+	c := member.Config{ID: f.c.ID, Zone: f.c.Zone, Addr: f.c.Announce, Instance: rand.Uint64() | 1, Generation: old.Generation,
+		Period: f.c.Period, Forget: f.c.Forget, Expected: f.c.Expected, Seed: f.c.Seed, Seeds: f.c.Seeds}
+	for _, k := range old.Members {
+		addr := k.Addr
+		if via := f.c.Via[k.ID]; via != "" {
+			addr = via
+		}
+		c.Known = append(c.Known, member.Record{ID: k.ID, Zone: k.Zone, Addr: addr})
+	}
+	f.m = member.New(c, f.core.Now())
+	f.log.Info().Str("fleet", f.c.Fleet).Str("listen", f.c.Listen).Str("announce", f.c.Announce).Int("known", len(old.Members)).Msg("fleet begins")
+	f.tick()
+}
+
+func (f *Fleet) tick() {
+	f.m.Tick(f.core.Now())
+	f.carry()
+	f.core.After(max(time.Millisecond, f.m.Next()-f.core.Now()), f.tick)
+	if f.core.Now() >= f.said+reportPace {
+		f.report()
+	}
+}
+
+// report says what was dropped, and why.
+func (f *Fleet) report() {
+	f.said = f.core.Now()
+	if n := int(f.packets.Dropped()); n > f.bad["too large, or too many"] {
+		f.bad["too large, or too many"] = n
+	}
+	if len(f.bad) > 0 {
+		line := f.log.Warn()
+		for why, n := range f.bad {
+			line = line.Int(why, n)
+		}
+		line.Msg("fleet: datagrams dropped so far")
+	}
+}
+
+// Machine is this mixer's view; it is read on the core's goroutine.
+func (f *Fleet) Machine() *member.Machine { return f.m }
+
+// Announce tells all others something.
+func (f *Fleet) Announce(key string, body []byte) {
+	f.m.Announce(f.core.Now(), key, body)
+	f.carry()
+}
+
+// Mine reports whether a duty is this mixer's now, and whether anybody can be named who
+// has it.
+func (f *Fleet) Mine(key string) (mine, owned bool) {
+	mine, _ = f.m.Mine(f.core.Now(), "", key)
+	whole, _ := f.m.Whole(f.core.Now())
+	return mine, whole && f.m.Owner("", key) != ""
+}
+
+// Leave says that this mixer ends, and stops listening.
+func (f *Fleet) Leave() {
+	f.m.Leave(f.core.Now())
+	f.carry()
+	_ = f.streams.Close() // the process ends
+}
+
+// via is where we reach somebody.
+func (f *Fleet) via(t member.Target) string {
+	if addr := f.c.Via[t.ID]; addr != "" && t.ID != f.c.ID {
+		return addr
+	}
+	return t.Addr
+}
+
+func (f *Fleet) pack(msg member.Message) []byte {
+	f.count++
+	return f.c.Keys.seal(packet{Message: msg, fleet: f.c.Fleet, count: f.count}.encode())
+}
+
+// carry carries out what the machine wants.
+func (f *Fleet) carry() {
+	out := f.m.Take()
+	for _, e := range out.Send {
+		if to, err := netip.ParseAddrPort(f.via(e.Target)); err == nil && to.Addr().Is4() {
+			f.packets.Send(to, f.pack(e.Message))
+		}
+	}
+	for _, x := range out.Exchanges {
+		f.exchange(x)
+	}
+	for _, c := range out.Changes {
+		line := f.log.Info()
+		if c.To != member.Alive {
+			line = f.log.Warn()
+		}
+		line.Str("member", c.ID).Str("from", c.From.String()).Str("to", c.To.String()).Uint32("generation", c.Life.Generation).
+			Uint32("turn", c.Life.Turn).Bool("new", c.New).Str("cause", c.Cause).Strs("observers", c.Observers).
+			Int("live", f.m.Alive()).Msg("fleet: a member's state")
+	}
+	for _, n := range out.News {
+		if f.News != nil {
+			f.News(n)
+		}
+	}
+	if out.Stop != "" && f.Stop != nil {
+		f.log.Error().Str("why", out.Stop).Msg("fleet: this process may not go on")
+		f.Stop(out.Stop)
+	}
+	if live, part := f.m.Alive(), f.m.Share(f.core.Now()); f.Changed != nil && (live != f.live || part != f.part) {
+		f.live, f.part = live, part
+		f.Changed(live, part)
+	}
+	if len(out.Changes) > 0 && f.keeper != nil {
+		f.keeper.put(snapshotOf(f.c.ID, f.m))
+	}
+}
+
+// read checks what came.
+func (f *Fleet) read(b []byte) (packet, error) {
+	body, err := f.c.Keys.open(b)
+	if err != nil {
+		return packet{}, err
+	}
+	p, err := decode(body)
+	if err == nil && p.fleet != f.c.Fleet {
+		err = errStranger
+	}
+	return p, err
+}
+
+func (f *Fleet) datagram(_ netip.AddrPort, b []byte) {
+	p, err := f.read(b)
+	if err == nil && !f.first(p) {
+		err = errors.New("come before")
+	}
+	if err != nil {
+		f.bad[err.Error()]++
+		return
+	}
+	if f.m == nil {
+		return // not begun yet
+	}
+	f.m.Receive(f.core.Now(), p.Message)
+	f.carry()
+}
+
+// first guards against datagrams that are said again, by the network or by somebody who
+// kept them.
+func (f *Fleet) first(p packet) bool {
+	s := f.heard[p.Instance]
+	if s == nil {
+		if len(f.heard) >= mostSenders {
+			clear(f.heard) // guards memory; the machine itself bears old words
+		}
+		s = &sender{}
+		f.heard[p.Instance] = s
+	}
+	return s.fresh(p.count)
+}
+
+// ---- full exchanges ----
+
+func frame(b []byte) []byte {
+	return append(binary.BigEndian.AppendUint32(nil, uint32(len(b))), b...)
+}
+
+// unframe takes one frame off what has come; nil: it is not whole.
+func unframe(b []byte) (body, rest []byte, err error) {
+	if len(b) < 4 {
+		return nil, b, nil
+	}
+	n := int(binary.BigEndian.Uint32(b))
+	if n > maxExchange {
+		return nil, nil, fmt.Errorf("an exchange of %d bytes", n)
+	}
+	if len(b) < 4+n {
+		return nil, b, nil
+	}
+	return b[4 : 4+n], b[4+n:], nil
+}
+
+// dialled is a full exchange that we began.
+type dialled struct {
+	f    *Fleet
+	to   member.Target
+	msg  member.Message
+	conn *transport.Conn
+	in   []byte
+	over bool
+}
+
+func (f *Fleet) exchange(x member.Exchange) {
+	d := &dialled{f: f, to: x.Target, msg: x.Message}
+	f.net.Dial(f.via(x.Target), exchangeTime, d, d.came)
+	f.core.After(2*exchangeTime, d.end)
+}
+
+func (d *dialled) came(conn *transport.Conn, e transport.End) {
+	if conn == nil {
+		if e == transport.Refused {
+			d.f.m.Refused(d.f.core.Now(), d.to)
+			d.f.carry()
+		}
+		d.over = true
+		return
+	}
+	if d.conn = conn; d.over {
+		conn.Close(transport.LocalDone)
+		return
+	}
+	conn.Write(frame(d.f.pack(d.msg)))
+}
+
+func (d *dialled) end() {
+	if d.over = true; d.conn != nil {
+		d.conn.Close(transport.LocalDone)
+	}
+}
+
+// Data implements transport.Handler.
+func (d *dialled) Data(b []byte) {
+	if d.over {
+		return
+	}
+	d.in = append(d.in, b...)
+	body, _, err := unframe(d.in)
+	if err == nil && body == nil {
+		return
+	}
+	var p packet
+	if err == nil {
+		p, err = d.f.read(body)
+	}
+	d.end()
+	if err != nil || p.Kind != member.SyncBack {
+		d.f.bad["answers to exchanges that can't be used"]++
+		return
+	}
+	d.f.m.Exchanged(d.f.core.Now(), d.to, p.Message)
+	d.f.carry()
+}
+
+// HalfClosed implements transport.Handler.
+func (d *dialled) HalfClosed() {}
+
+// Ended implements transport.Handler.
+func (d *dialled) Ended(transport.End) { d.over = true }
+
+// served is a connection on which others begin exchanges.
+type served struct {
+	f     *Fleet
+	conn  *transport.Conn
+	in    []byte
+	timer bool
+}
+
+// Data implements transport.Handler.
+func (s *served) Data(b []byte) {
+	if !s.timer {
+		s.timer = true
+		s.f.core.After(servedIdle, func() { s.conn.Close(transport.LocalIdle) })
+	}
+	s.in = append(s.in, b...)
+	for {
+		body, rest, err := unframe(s.in)
+		if err == nil && body == nil {
+			return
+		}
+		s.in = rest
+		var p packet
+		if err == nil {
+			p, err = s.f.read(body)
+		}
+		if err != nil || s.f.m == nil {
+			s.f.bad["exchanges that can't be used"]++
+			s.conn.Close(transport.BadInput)
+			return
+		}
+		switch p.Kind {
+		case member.Sync:
+			back := s.f.m.Served(s.f.core.Now(), p.Message)
+			s.conn.Write(frame(s.f.pack(back)))
+			s.f.carry()
+		case kindAsk:
+			s.conn.Write(frame(s.f.c.Keys.seal(packet{Message: member.Message{Kind: kindAnswer, From: s.f.c.ID}, fleet: s.f.c.Fleet,
+				answer: s.f.describe()}.encode())))
+		}
+	}
+}
+
+// HalfClosed implements transport.Handler.
+func (s *served) HalfClosed() { s.conn.Close(transport.LocalDone) }
+
+// Ended implements transport.Handler.
+func (s *served) Ended(transport.End) {}
--- /dev/null
+++ b/internal/fleet/link/view.go
@@ -0,0 +1,98 @@
+package link
+
+import (
+	"encoding/binary"
+	"fmt"
+	"io"
+	"net"
+	"time"
+
+	"kiteloft/internal/fleet/member"
+)
+
+// Line is a member as a mixer's view has it.
+type Line struct {
+	ID         string   `json:"id"`
+	Zone       string   `json:"zone"`
+	Addr       string   `json:"addr"`
+	State      string   `json:"state"`
+	Self       bool     `json:"self,omitempty"`
+	Ready      bool     `json:"ready"`
+	Generation uint32   `json:"generation"`
+	Turn       uint32   `json:"turn"`
+	SinceMS    int64    `json:"since_ms"` // for how long it has been so
+	HeardMS    int64    `json:"heard_ms"` // since the last round trip with it; -1: there was none
+	DoubtedBy  []string `json:"doubted_by,omitempty"`
+}
+
+// View is what a mixer says of the fleet.
+type View struct {
+	Fleet    string  `json:"fleet"`
+	Mixer    string  `json:"mixer"`
+	Live     int     `json:"live"`
+	Share    float64 `json:"share"` // of what all share
+	Isolated bool    `json:"isolated"`
+	Members  []Line  `json:"members"`
+}
+
+// View is this mixer's view now.
+func (f *Fleet) View() View {
+	now := f.core.Now()
+	v := View{Fleet: f.c.Fleet, Mixer: f.c.ID, Live: f.m.Alive(), Share: f.m.Share(now), Isolated: f.m.Isolated()}
+	for _, e := range f.m.View() {
+		l := Line{ID: e.ID, Zone: e.Zone, Addr: e.Addr, State: e.State.String(), Self: e.Self, Ready: e.Ready,
+			Generation: e.Life.Generation, Turn: e.Life.Turn, SinceMS: (now - e.Since).Milliseconds(), HeardMS: -1, DoubtedBy: e.Doubts}
+		if e.Self && e.State == member.Doubted {
+			l.State = "isolated"
+		}
+		if e.Heard > 0 {
+			l.HeardMS = (now - e.Heard).Milliseconds()
+		}
+		v.Members = append(v.Members, l)
+	}
+	return v
+}
+
+func (f *Fleet) describe() []byte {
+	text, err := json.Marshal(f.View())
+	if err != nil {
+		f.log.Error().Err(err).Msg("the fleet's view could not be encoded") // a defect
+	}
+	return text
+}
+
+// AskView asks a mixer for its view, as an operator's tool does.
+func AskView(addr, fleet string, keys Keys, patience time.Duration) (v View, err error) {
+	conn, err := net.DialTimeout("tcp", addr, patience)
+	if err != nil {
+		return v, err
+	}
+	defer func() { _ = conn.Close() }() // read whole
+	if err := conn.SetDeadline(time.Now().Add(patience)); err != nil {
+		return v, err
+	}
+	if _, err := conn.Write(frame(keys.seal(packet{Message: member.Message{Kind: kindAsk}, fleet: fleet}.encode()))); err != nil {
+		return v, err
+	}
+	var size [4]byte
+	if _, err := io.ReadFull(conn, size[:]); err != nil {
+		return v, fmt.Errorf("no answer (another key, or another fleet?): %w", err)
+	}
+	n := binary.BigEndian.Uint32(size[:])
+	if n > maxExchange {
+		return v, errBroken
+	}
+	b := make([]byte, n)
+	if _, err := io.ReadFull(conn, b); err != nil {
+		return v, err
+	}
+	body, err := keys.open(b)
+	if err != nil {
+		return v, err
+	}
+	p, err := decode(body)
+	if err != nil {
+		return v, err
+	}
+	return v, json.Unmarshal(p.answer, &v)
+}
--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -131,7 +131,7 @@
 	joinPace    = 1.0 // between two rounds of asking seeds
 	backAfter   = 4.0 // back from a cut, a member waits so long for what it missed
 	aloneTries  = 5   // rounds in vain after which nobody seems to be there
-	perMessage  = 20  // updates in a datagram
+	perMessage  = 12  // updates in a datagram
 	resend      = 3   // times log2 of the fleet that an update is sent
 	mostNews    = 256 // words remembered
 	keptShare   = 0.5 // what an isolated member goes on using of its share
--- a/internal/fleet/member/view.go
+++ b/internal/fleet/member/view.go
@@ -405,7 +405,8 @@
 		}
 	}
 	count(m.self)
-	for _, p := range m.peers {
+	for _, id := range m.order { // in one order: sums of fractions depend on it
+		p := m.peers[id]
 		m.digest += p.mark
 		if p.forgotten {
 			continue
--- /dev/null
+++ b/internal/transport/packets.go
@@ -0,0 +1,87 @@
+package transport
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+	"sync/atomic"
+
+	"golang.org/x/sys/unix"
+)
+
+// mostPackets is how many datagrams may wait for the owner's goroutine.
+const mostPackets = 512
+
+// Packets sends and takes datagrams at one address. What comes is posted to the owner,
+// as far as that keeps up; the rest is dropped and counted.
+type Packets struct {
+	conn    *net.UDPConn
+	raw     func(func(fd uintptr) bool) error
+	post    Poster
+	waiting atomic.Int64
+	dropped atomic.Int64
+}
+
+// ListenPackets listens at an address. Netpoll serves streams only, so one goroutine
+// reads, for as long as the socket is open. Datagrams over most bytes are dropped.
+func ListenPackets(post Poster, addr string, most int, take func(from netip.AddrPort, b []byte)) (*Packets, error) {
+	at, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		return nil, fmt.Errorf("listening: %w", err)
+	}
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(at))
+	if err != nil {
+		return nil, fmt.Errorf("listening: %w", err)
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		_ = conn.Close() // the first error counts
+		return nil, fmt.Errorf("listening: %w", err)
+	}
+	p := &Packets{conn: conn, raw: raw.Write, post: post}
+	go p.read(most, take)
+	return p, nil
+}
+
+func (p *Packets) read(most int, take func(netip.AddrPort, []byte)) {
+	buf := make([]byte, most+1)
+	for {
+		n, from, err := p.conn.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			if n == 0 && from == (netip.AddrPort{}) {
+				return // closed: a datagram socket has no other end
+			}
+			continue
+		}
+		// Guards memory and the loop against a flood.
+		if n > most || p.waiting.Load() >= mostPackets {
+			p.dropped.Add(1)
+			continue
+		}
+		b := append([]byte(nil), buf[:n]...)
+		p.waiting.Add(1)
+		p.post.Post(func() {
+			p.waiting.Add(-1)
+			take(from, b)
+		})
+	}
+}
+
+// Send sends a datagram. It never waits: what the kernel does not take is lost, as any
+// datagram may be.
+func (p *Packets) Send(to netip.AddrPort, b []byte) {
+	addr := &unix.SockaddrInet4{Port: int(to.Port()), Addr: to.Addr().Unmap().As4()}
+	_ = p.raw(func(fd uintptr) bool { // fails only once the socket is closed
+		_ = unix.Sendto(int(fd), b, unix.MSG_DONTWAIT|unix.MSG_NOSIGNAL, addr)
+		return true
+	})
+}
+
+// Dropped is how many datagrams were too large or too many, so far.
+func (p *Packets) Dropped() int64 { return p.dropped.Load() }
+
+// Addr is the address listened at.
+func (p *Packets) Addr() net.Addr { return p.conn.LocalAddr() }
+
+// Close ends it.
+func (p *Packets) Close() { _ = p.conn.Close() } // nobody reads it any more
