Let the module hear how many mixers live, and divide checks of nodes among them

Need: the module split by a number of its settings, and each mixer checked each doubted node itself.

A leaving mixer says so at its very end. Stand-ins: Wire, a directed link that drops, doubles, delays, corrupts, cuts, one way; Crew, mixers over such links with kill, pause, restart.

--- a/cmd/kiteloft/ending.go
+++ b/cmd/kiteloft/ending.go
@@ -7,6 +7,7 @@
 
 	"kiteloft/decide"
 	"kiteloft/internal/broker"
+	"kiteloft/internal/fleet/link"
 	"kiteloft/internal/front/flight"
 	"kiteloft/internal/front/platform"
 	"kiteloft/internal/ipfix"
@@ -44,9 +45,19 @@
 	listeners []*transport.Listener
 	flows     *ipfix.Exporter // nil: none
 	traces    *traces         // nil: none
+	fleet     *link.Fleet     // nil: none
 	log       zerolog.Logger
 	stop      chan struct{} // closed at the very end
 	kill      time.Duration // when the platform may kill us
+	halted    bool
+}
+
+// halt stops the core.
+func (e *ending) halt() {
+	if !e.halted {
+		e.halted = true
+		close(e.stop)
+	}
 }
 
 func (e *ending) begin() {
@@ -90,7 +101,10 @@
 				if e.flows != nil {
 					e.flows.Flush()
 				}
-				last := func() { e.core.After(lastWrites, func() { close(e.stop) }) }
+				if e.fleet != nil {
+					e.fleet.Leave()
+				}
+				last := func() { e.core.After(lastWrites, e.halt) }
 				if e.traces == nil {
 					last()
 					return
--- /dev/null
+++ b/cmd/kiteloft/fleet_test.go
@@ -0,0 +1,180 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"kiteloft/internal/standin"
+)
+
+const (
+	fleetPeriod = 500 * time.Millisecond
+	fleetSlack  = 1500 * time.Millisecond // of a busy machine, and of our looking at views in turn
+)
+
+// flock is a fleet of mixers with clients that are served all the while.
+type flock struct {
+	*standin.Crew
+	t       *testing.T
+	nodes   []*standIn
+	size    int
+	asked   atomic.Int64
+	unwell  atomic.Int64 // answers other than served, from mixers that should serve
+	away    []atomic.Bool
+	closing chan struct{}
+	done    sync.WaitGroup
+}
+
+func newFlock(t *testing.T, size int, disk bool) *flock {
+	t.Helper()
+	f := &flock{t: t, size: size, away: make([]atomic.Bool, size), closing: make(chan struct{})}
+	var members []member
+	for i := range 4 {
+		n := standin.NewNode(fmt.Sprintf("s-%d", i), sound)
+		n.Forgets = true
+		f.nodes = append(f.nodes, n)
+		members = append(members, member{ID: n.ID, HostPort: platformWire{}.node(t, n), Locality: "a", Cell: i % 2, Phase: "active", Size: 1})
+	}
+	dir := standin.NewDirectory(members...)
+	t.Cleanup(dir.Close)
+	s := standin.CrewSetup{Program: program, Dir: t.TempDir(), Mixers: size, Settings: strings.Replace(settings, `"balancers":1`, fmt.Sprintf(`"balancers":%d`, size), 1),
+		Known: members, Period: fleetPeriod, Disk: disk, Seed: 1}
+	at := dir.Serve()
+	for i := range size {
+		s.Zones, s.Dirs = append(s.Zones, string(rune('a'+i%3))), append(s.Dirs, at)
+	}
+	var err error
+	f.Crew, err = standin.NewCrew(s)
+	t.Cleanup(f.end)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.agrees("all know all", 20*time.Second)
+	for i := range size {
+		f.done.Add(1)
+		go f.client(i)
+	}
+	return f
+}
+
+// client asks a mixer all the while, but for when the test says that it is away.
+func (f *flock) client(i int) {
+	defer f.done.Done()
+	for {
+		select {
+		case <-f.closing:
+			return
+		case <-time.After(50 * time.Millisecond):
+		}
+		if f.away[i].Load() {
+			continue
+		}
+		c := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+		r, err := standin.Ask(c, f.Mixer(i).Listen(), query{Class: "lookup", Shards: []int{0, 1}, Deadline: 4 * time.Second})
+		f.asked.Add(1)
+		if (err != nil || r.Kind != "served") && !f.away[i].Load() {
+			f.unwell.Add(1)
+		}
+	}
+}
+
+func (f *flock) end() {
+	close(f.closing)
+	f.done.Wait()
+	if n := f.unwell.Load(); n > 0 {
+		f.t.Errorf("%d of %d queries were not served", n, f.asked.Load())
+	}
+	if f.Crew == nil {
+		return
+	}
+	if f.t.Failed() {
+		f.t.Logf("%v\n%s", f.Timeline(), strings.Join(f.Lines(), "\n"))
+	}
+	f.Close()
+}
+
+// agrees waits until all views are equal and right, and returns how long that took.
+func (f *flock) agrees(what string, most time.Duration) time.Duration {
+	f.t.Helper()
+	begun, why := time.Now(), ""
+	for {
+		var ok bool
+		if ok, why = f.Agree(); ok {
+			return time.Since(begun)
+		}
+		if time.Since(begun) > most {
+			f.t.Fatalf("after %v not yet %s: %s", most, what, why)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// changes counts the log lines that say a member went to a state.
+func (f *flock) changes(to string) (n int) {
+	for _, l := range f.Lines() {
+		if strings.Contains(l, `"to":"`+to+`"`) {
+			n++
+		}
+	}
+	return n
+}
+
+// TestAFleetOfNineUnderFaults takes nine processes through loss, a pause, a half cut, a
+// kill, a planned end and a restart, with clients served throughout.
+func TestAFleetOfNineUnderFaults(t *testing.T) {
+	f := newFlock(t, 9, false)
+	time.Sleep(6 * time.Second) // until all are ready
+	begun := f.changes("gone")
+	quiet := func(what string) {
+		t.Helper()
+		if n := f.changes("gone") - begun; n > 0 {
+			t.Errorf("%s: %d times somebody was thrown out", what, n)
+		}
+	}
+
+	f.Spoil(nil, nil, standin.Fault{Drop: 0.3, Double: 0.1, Corrupt: 0.05, Delay: 20 * time.Millisecond, Oversized: true})
+	time.Sleep(4 * time.Second)
+	f.away[5].Store(true) // nobody is served by who stands still
+	if err := f.Pause(5, 2*time.Second); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(4 * time.Second)
+	f.away[5].Store(false)
+	quiet("30% loss and a pause of 2 s")
+
+	f.Spoil(nil, nil, standin.Fault{Drop: 0.2})
+	f.away[7].Store(true)
+	if err := f.Kill(7); err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("a killed process was known to all after %v", f.agrees("all know of the killed", 6*fleetPeriod+fleetSlack))
+	f.Spoil(nil, nil, standin.Fault{})
+	if err := f.Start(7); err != nil {
+		t.Fatal(err)
+	}
+	f.agrees("it is back", 8*fleetPeriod+fleetSlack)
+	f.away[7].Store(false)
+
+	f.Spoil([]int{2}, nil, standin.Fault{Drop: 1}) // it hears, and is not heard
+	begun = f.changes("gone")
+	time.Sleep(8 * fleetPeriod)
+	if v, err := f.View(2); err != nil || !v.Isolated || v.Share > 0.06 {
+		t.Errorf("cut off one way: %+v, %v", v, err)
+	}
+	if n := f.changes("gone") - begun; n != 8 {
+		t.Errorf("%d of 8 threw it out", n)
+	}
+	f.Spoil(nil, nil, standin.Fault{})
+	t.Logf("after a half cut all agreed after %v", f.agrees("all agree after the half cut", 6*fleetPeriod+fleetSlack))
+
+	f.away[4].Store(true)
+	if err := f.End(4); err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("one that left was known to all after %v", f.agrees("all know of the one that left", 2*fleetPeriod+fleetSlack))
+}
--- a/cmd/kiteloft/main.go
+++ b/cmd/kiteloft/main.go
@@ -209,7 +209,19 @@
 		e.listeners, e.columns = append(e.listeners, ln), columns
 		log.Info().Str("listen", ln.Addr().String()).Msg("Flight front serves")
 	}
+	var failed error
+	fleet, err := newFleet(core, cfg, links, func(err error) {
+		failed = err
+		e.halt()
+	}, log)
+	if err != nil {
+		return err
+	}
+	e.fleet = fleet
 	core.Post(func() {
+		if fleet != nil {
+			fleet.Start()
+		}
 		if columns != nil {
 			columns.Start()
 		}
@@ -240,6 +252,9 @@
 		core.Post(e.begin)
 	}()
 	core.Run(e.stop)
+	if failed != nil {
+		return failed
+	}
 	log.Info().Msg("mixer has ended")
 	return nil
 }
--- a/decide/api.go
+++ b/decide/api.go
@@ -171,6 +171,13 @@
 	Load    *Load // nil: none attached
 }
 
+// Sharers says how many aggregators live, in place of the number in the Settings, and
+// what this one may use of what all share.
+type Sharers struct {
+	Live  int
+	Share float64 // from 0 to 1
+}
+
 // StreamBegun says that an attempt's streamed answer has begun.
 type StreamBegun struct {
 	Part    string
@@ -209,6 +216,7 @@
 func (Woken) event()        {}
 func (ProbeDone) event()    {}
 func (PeerMessage) event()  {}
+func (Sharers) event()      {}
 
 // Action is something that the caller carries out.
 type Action interface{ action() }
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -94,6 +94,8 @@
 		m.takeOutcome(e)
 	case ProbeDone:
 		m.takeProbe(e)
+	case Sharers:
+		m.set.Aggregators, m.share = max(e.Live, 1), e.Share
 	case ClientGone:
 		if q := m.ids[e.Query]; q != nil {
 			m.close(q)
@@ -859,7 +861,7 @@
 	if tenant < 0 || tenant >= len(m.tenants) || m.set.Tenants[tenant].Allowance <= 0 {
 		return false
 	}
-	return m.tenants[tenant].rate(m.now) > m.set.Tenants[tenant].Allowance/float64(max(m.set.Aggregators, 1))
+	return m.tenants[tenant].rate(m.now) > m.set.Tenants[tenant].Allowance*m.share
 }
 
 // inTime tells whether all needed parts can be expected within the query's share of the time to its aim.
--- a/decide/state.go
+++ b/decide/state.go
@@ -18,6 +18,7 @@
 // Module decides for one aggregator. Make it with New.
 type Module struct {
 	set      Settings
+	share    float64 // of what all aggregators share
 	rng      *rand.Rand
 	draws    *rand.Rand // for waits that are spread over the aggregators
 	now      time.Duration
@@ -278,7 +279,7 @@
 		set: set, rng: rand.New(rand.NewPCG(seed, 0)), draws: rand.New(rand.NewPCG(seed, 1)),
 		servers: map[string]*server{}, holders: map[int][]*server{},
 		queries: map[int64]*query{}, ids: map[string]*query{}, parts: map[string]*part{}, askAt: -1,
-		idleLimit: math.MaxInt64, lostFresh: lostExcess, usual: make([]usual, len(set.Classes)), tenants: make([]meter, len(set.Tenants)),
+		share: 1 / float64(max(set.Aggregators, 1)), idleLimit: math.MaxInt64, lostFresh: lostExcess, usual: make([]usual, len(set.Classes)), tenants: make([]meter, len(set.Tenants)),
 	}
 	m.set.Classes = slices.Clone(set.Classes)
 	for i := range m.set.Classes {
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -67,12 +67,17 @@
 	Send(n Node, call []*Attempt)
 	// GiveUp stops an attempt that the core has ended.
 	GiveUp(a *Attempt)
-	Probe(n Node, done func(decide.Outcome))
+	Prober
 	CloseIdle(n Node)
 	// Known tells which nodes are listed now.
 	Known(list []Node)
 }
 
+// Prober checks nodes: the Nodes themselves, or whoever divides that work.
+type Prober interface {
+	Probe(n Node, done func(decide.Outcome))
+}
+
 // Directory follows the list of nodes and tells it by Core.Listed and
 // Core.ListLost.
 type Directory interface {
@@ -119,6 +124,7 @@
 	clock  func() time.Duration
 	nodes  Nodes
 	dir    Directory
+	prober Prober
 	log    Log
 	traces *tracing.Recorder // nil: none are recorded
 	counts *counts.Set       // nil: nothing is counted
@@ -232,7 +238,21 @@
 }
 
 // Use gives the core its nodes and its directory.
-func (c *Core) Use(n Nodes, d Directory) { c.nodes, c.dir = n, d }
+func (c *Core) Use(n Nodes, d Directory) { c.nodes, c.dir, c.prober = n, d, n }
+
+// Divide has nodes checked by p.
+func (c *Core) Divide(p Prober) { c.prober = p }
+
+// Sharers tells how many mixers live, and what this one may use of what all share.
+func (c *Core) Sharers(live int, share float64) {
+	c.events = append(c.events, decide.Sharers{Live: live, Share: share})
+}
+
+// Node is a listed node; false: it is not listed.
+func (c *Core) Node(id string) (Node, bool) {
+	m, ok := c.members[id]
+	return Node{ID: id, Addr: m.Addr}, ok
+}
 
 // Record has the core hand what it does to r.
 func (c *Core) Record(r *tracing.Recorder) { c.traces = r }
--- a/internal/broker/step.go
+++ b/internal/broker/step.go
@@ -294,7 +294,7 @@
 		c.events = append(c.events, decide.ProbeDone{Server: id, Outcome: decide.ConnectFailed})
 		return
 	}
-	c.nodes.Probe(Node{ID: m.ID, Addr: m.Addr}, func(o decide.Outcome) {
+	c.prober.Probe(Node{ID: m.ID, Addr: m.Addr}, func(o decide.Outcome) {
 		c.events = append(c.events, decide.ProbeDone{Server: id, Outcome: o, Latency: c.now - at})
 	})
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -16,6 +16,7 @@
 	jsoniter "github.com/json-iterator/go"
 
 	"kiteloft/internal/discovery"
+	"kiteloft/internal/fleet/link"
 	"kiteloft/internal/settings"
 )
 
@@ -36,6 +37,7 @@
 	FlightListen   string // "": no Arrow Flight front
 	IPFIXCollector string // "": no export of flows
 	Tracing        Tracing
+	Fleet          *link.Config // nil: this mixer knows of no others
 }
 
 // Tracing says what becomes of traces. Without a collector and a directory, none are
@@ -78,7 +80,7 @@
 		{"limits", c.Cores == next.Cores && c.MemoryMB == next.MemoryMB && c.Sockets == next.Sockets},
 		{"settings", reflect.DeepEqual(c.Settings, next.Settings)},
 		{"flight.listen", c.FlightListen == next.FlightListen}, {"ipfix.collector", c.IPFIXCollector == next.IPFIXCollector},
-		{"tracing", c.Tracing == next.Tracing},
+		{"tracing", c.Tracing == next.Tracing}, {"fleet", reflect.DeepEqual(c.Fleet, next.Fleet)},
 	} {
 		if !k.same {
 			keys = append(keys, k.name)
@@ -118,6 +120,7 @@
 		SegmentMB int     `toml:"segment_mb"`
 		Segments  int     `toml:"segments"`
 	} `toml:"tracing"`
+	Fleet fleet `toml:"fleet"`
 }
 
 // Load reads the environment, the file that LB_CONFIG names, and the project's
@@ -236,7 +239,10 @@
 			return err
 		}
 	}
-	return c.readTracing(path, &b)
+	if err := c.readTracing(path, &b); err != nil {
+		return err
+	}
+	return c.readFleet(path, &b.Fleet, meta.IsDefined("fleet"))
 }
 
 func (c *Config) readTracing(path string, b *broker) error {
--- a/internal/fleet/link/link.go
+++ b/internal/fleet/link/link.go
@@ -64,7 +64,7 @@
 	// this one may use of what all share.
 	Changed func(live int, share float64)
 	// News is called with what others announce.
-	News func(n member.News)
+	News func(key string, body []byte)
 	// Stop is called if this process may not go on.
 	Stop func(why string)
 	live int
@@ -218,7 +218,7 @@
 	}
 	for _, n := range out.News {
 		if f.News != nil {
-			f.News(n)
+			f.News(n.Key, n.Body)
 		}
 	}
 	if out.Stop != "" && f.Stop != nil {
--- a/internal/standin/mixer.go
+++ b/internal/standin/mixer.go
@@ -40,6 +40,7 @@
 	mu     sync.Mutex
 	listen string
 	flight string
+	fleet  string
 	logs   []string
 	deaf   chan struct{}
 }
@@ -113,6 +114,8 @@
 		m.listen = line.Listen
 	case "Flight front serves":
 		m.flight = line.Listen
+	case "fleet begins":
+		m.fleet = line.Listen
 	}
 	deaf := m.deaf
 	m.mu.Unlock()
@@ -157,6 +160,13 @@
 	return m.flight
 }
 
+// Fleet is the address at which other mixers are heard; "": there is none.
+func (m *Mixer) Fleet() string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.fleet
+}
+
 // Logs are the lines logged so far.
 func (m *Mixer) Logs() []string {
 	m.mu.Lock()
