Log always what a mixer can see of a lost query: crossed closes, open ends, late answers

What no log told is what became of a request that crossed a close, of a connection that ended with a query open, or of an answer after its time.

Not yet known: the cause.

--- a/cmd/kiteloft/trouble_test.go
+++ b/cmd/kiteloft/trouble_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -116,3 +118,52 @@
 		}
 	}
 }
+
+// TestEvidenceOfLostQueries has clients lose a query in each way that a mixer can see, and
+// wants a line with its id.
+func TestEvidenceOfLostQueries(t *testing.T) {
+	t.Parallel()
+	var b *bed
+	b, _ = alone(t, func(p part) reply { r := sound(p); r.After = 300 * time.Millisecond; return r }, `"tick":0.005`, `"tick":0.005`)
+	post := func(id, more string) string {
+		body := query{Shards: []int{0}}.Body()
+		return fmt.Sprintf("POST /lookup HTTP/1.1\r\nHost: a\r\nReq-Id: %s\r\nReq-Deadline-Ms: 2000\r\n%sContent-Length: %d\r\n\r\n%s", id, more, len(body), body)
+	}
+	open := func() *net.TCPConn {
+		c, err := net.Dial("tcp", b.Listen())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = c.Close() })
+		return c.(*net.TCPConn)
+	}
+	say := func(c net.Conn, text string) {
+		if _, err := c.Write([]byte(text)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	logged := func(words ...string) {
+		t.Helper()
+		b.wait(t, strings.Join(words, " "), func() bool {
+			return slices.ContainsFunc(b.Logs(), func(l string) bool {
+				return !slices.ContainsFunc(words, func(w string) bool { return !strings.Contains(l, w) })
+			})
+		})
+	}
+	c := open()
+	say(c, post("crossed-by-a-close", "Connection: close\r\n"))
+	b.wait(t, "an answer and the end", func() bool {
+		_ = c.SetReadDeadline(time.Now().Add(2 * time.Second))
+		_, err := io.ReadAll(c)
+		return err == nil
+	})
+	say(c, post("after-the-last-words", ""))
+	logged("request came on a connection that is closing", "after-the-last-words")
+
+	c = open()
+	say(c, post("left-alone", ""))
+	b.wait(t, "it is taken", func() bool { return len(b.parts()) > 1 })
+	_ = c.SetLinger(0) // resets
+	_ = c.Close()
+	logged("connection ended with a query open", "left-alone", "peer-reset")
+}
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -70,6 +70,8 @@
 	endBy   time.Duration // closing: when the connection is closed at the latest
 	begun   time.Duration // when the request that is coming in began; 0: none is
 	last    time.Duration // when bytes last came
+	lingers time.Duration // closing: for so long in all
+	said    string        // the id of the query answered last
 }
 
 // request is a query's way back to its client. It implements broker.Answerer.
@@ -77,6 +79,9 @@
 	c      *client
 	handle *broker.Handle
 	close  bool
+	id     string
+	came   time.Duration
+	due    time.Duration // when its time is up
 }
 
 // Accept takes a new connection. Unlike all else here, it may be called on any
@@ -194,7 +199,8 @@
 		text(504, "out of time")
 		return
 	}
-	r := &request{c: c, close: m.Close}
+	now := c.f.core.Now()
+	r := &request{c: c, close: m.Close, id: q.WireID, came: now, due: now + q.Left}
 	q.Answerer = r
 	verdict, handle := c.f.core.Take(q)
 	switch verdict {
@@ -276,7 +282,8 @@
 	if c.open != r {
 		return // the client has gone
 	}
-	c.open = nil
+	r.late(status)
+	c.open, c.said = nil, r.id
 	c.reply(status, kind, body, after, r.close)
 	// The next pipelined request is taken in a turn of its own: this one may be
 	// within a step.
@@ -332,7 +339,7 @@
 	if c.closing {
 		return
 	}
-	c.closing, c.endBy = true, c.f.core.Now()+front.LingerTime
+	c.closing, c.lingers, c.endBy = true, front.LingerTime, c.f.core.Now()+front.LingerTime
 	c.parser = http1.NewRequestParser() // what came in holds no memory any more
 	if c.half && c.conn.Idle() {
 		c.conn.Close(transport.LocalDone)
@@ -357,8 +364,9 @@
 }
 
 // Ended implements transport.Handler.
-func (c *client) Ended(transport.End) {
+func (c *client) Ended(e transport.End) {
 	delete(c.f.clients, c)
+	c.left(e)
 	c.closing = true
 	if r := c.open; r != nil {
 		c.open = nil
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -31,6 +31,12 @@
 	Ended(e End)
 }
 
+// Ignorer is a Handler that wants to know what came, at first, once it had said its last
+// words: evidence for whoever looks for a lost request.
+type Ignorer interface{ Ignored(b []byte) }
+
+const mostIgnored = 512 // bytes of it that are told
+
 // Poster runs functions one after another on the owner's goroutine.
 type Poster interface{ Post(fn func()) }
 
@@ -98,6 +104,8 @@
 	take := 0
 	if !c.skims.Load() {
 		take = c.take(n)
+	} else if c.skimmed == 0 {
+		c.tellIgnored(r, n)
 	}
 	p, err := r.Next(take)
 	if err != nil {
@@ -125,10 +133,26 @@
 		// own nothing does.
 		if !c.muted.Load() {
 			c.h.Data(b)
+		} else if h, ok := c.h.(Ignorer); ok {
+			h.Ignored(b[:min(len(b), mostIgnored)])
 		}
 	})
 }
 
+// tellIgnored hands what is passed over, at first, to a handler that wants to know.
+func (c *Conn) tellIgnored(r netpoll.Reader, n int) {
+	h, ok := c.h.(Ignorer)
+	if !ok {
+		return
+	}
+	p, err := r.Peek(min(n, mostIgnored))
+	if err != nil {
+		return
+	}
+	b := append([]byte(nil), p...)
+	c.post.Post(func() { h.Ignored(b) })
+}
+
 // take counts how many of n bytes may wait for the owner's goroutine. It guards
 // memory against peers that send faster than that works. A client's first bytes
 // are being looked at and earn it an error, so the rest is passed over; what a node
