Prove membership on real processes: strangers, twins, restarts, divided checks of nodes

Need: the pure machine's promises had to hold for processes of the program.

Change: tests over five processes with clients served throughout. A check of a node that its owner does not answer within 1.5 s is made by whoever waits, who tells all (before, a killed owner and a paused mixer left a node unchecked for 10.7 s, two intervals being 10 s); a bad word is repeated for 2.5 s to whoever asks.

--- a/cmd/kiteloft/fleet_test.go
+++ b/cmd/kiteloft/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -178,3 +179,166 @@
 	}
 	t.Logf("one that left was known to all after %v", f.agrees("all know of the one that left", 2*fleetPeriod+fleetSlack))
 }
+
+// TestAFleetOfFiveThroughRestarts takes five processes with disks through strangers'
+// datagrams, replays, a name used twice, most of them killed, all of them restarted, one
+// after another, and spoilt snapshots.
+func TestAFleetOfFiveThroughRestarts(t *testing.T) {
+	f := newFlock(t, 5, true)
+	time.Sleep(5 * time.Second) // until all are ready
+	all := func(away bool, list ...int) {
+		for _, i := range list {
+			f.away[i].Store(away)
+		}
+	}
+	must := func(err error) {
+		t.Helper()
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+
+	lines := len(f.Lines())
+	for i := range 4 {
+		w := f.Wire(4, i)
+		for _, b := range w.Kept() {
+			w.Say(b) // it came before
+		}
+		w.Say([]byte("garbage"))
+		w.Say(make([]byte, 20<<10))
+		w.Say(append([]byte{1, 2, 3, 4, 5}, make([]byte, 400)...))
+	}
+	time.Sleep(2 * fleetPeriod)
+	if n := len(f.Lines()) - lines; n != 0 {
+		t.Errorf("strangers' datagrams changed %d states", n)
+	}
+
+	twin, err := standin.Start(f.Twin(3, t.TempDir()))
+	if twin == nil {
+		t.Fatal(err)
+	}
+	select {
+	case err := <-twin.Exit:
+		if err == nil || twin.Logged("mixer failed") == 0 || !strings.Contains(strings.Join(twin.Logs(), "\n"), "the name n3 is taken by the process at "+f.Mixer(3).Fleet()) {
+			t.Errorf("the second of one name ended with %v:\n%s", err, strings.Join(twin.Logs(), "\n"))
+		}
+	case <-time.After(15 * time.Second):
+		twin.Kill()
+		t.Error("the second of one name goes on")
+	}
+	f.agrees("the first of one name goes on", 4*fleetPeriod+fleetSlack)
+
+	all(true, 2, 3, 4)
+	for i := 2; i < 5; i++ {
+		must(f.Kill(i))
+	}
+	t.Logf("three of five killed: known after %v", f.agrees("two know", 6*fleetPeriod+fleetSlack))
+	must(os.WriteFile(f.Snapshot(2), []byte(`{"name":"n2","gen`), 0o600))
+	for i := 2; i < 5; i++ {
+		must(f.Start(i))
+	}
+	t.Logf("all back after %v", f.agrees("all are back", 8*fleetPeriod+fleetSlack))
+	if f.Mixer(2).Logged("the fleet's snapshot can't be used") != 1 {
+		t.Error("a spoilt snapshot is not spoken of")
+	}
+	if _, err := os.Stat(f.Snapshot(2) + ".bad"); err != nil {
+		t.Errorf("a spoilt snapshot is not set aside: %v", err)
+	}
+
+	all(true, 0, 1, 2, 3, 4)
+	for i := range 5 {
+		must(f.Kill(i))
+	}
+	for i := range 5 {
+		must(f.Start(i))
+	}
+	t.Logf("all restarted at once: agreed after %v", f.agrees("all agree after the restart", 12*fleetPeriod+fleetSlack))
+
+	time.Sleep(8 * fleetPeriod)
+	gone := f.changes("gone")
+	for i := range 5 {
+		must(f.End(i))
+		must(f.Start(i))
+		f.agrees("it is back under its name", 8*fleetPeriod+fleetSlack)
+	}
+	if n := f.changes("gone") - gone; n != 0 {
+		t.Errorf("%d times somebody was thrown out in a rolling restart", n)
+	}
+}
+
+// TestChecksOfANodeAreDivided has five mixers doubt a node that says nothing, with one of
+// them killed and one paused: it is checked by one at a time, and never forgotten.
+func TestChecksOfANodeAreDivided(t *testing.T) {
+	t.Parallel()
+	f := newFlock(t, 5, false)
+	var mu sync.Mutex
+	var checks []time.Time
+	sick := f.nodes[0]
+	sick.Probed = func(int) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		checks = append(checks, time.Now())
+		return false
+	}
+	sick.Answers(func(part) reply { return reply{} })
+	time.Sleep(14 * time.Second) // until all are ready, doubt it, and ask as rarely as they ever do
+	const interval = 5 * time.Second
+	window := func(length time.Duration) (n int, longest time.Duration) {
+		begun := time.Now()
+		time.Sleep(length)
+		mu.Lock()
+		defer mu.Unlock()
+		last := begun
+		for _, at := range checks {
+			if at.Before(begun) {
+				continue
+			}
+			n++
+			longest = max(longest, at.Sub(last))
+			last = at
+		}
+		return n, max(longest, time.Since(last))
+	}
+	n, longest := window(3 * interval)
+	t.Logf("%d checks in %v, %v apart at most", n, 3*interval, longest)
+	if n > 2*3+1 || longest > 2*interval {
+		t.Errorf("%d checks in three intervals, %v apart at most", n, longest)
+	}
+	f.away[2].Store(true)
+	if err := f.Kill(2); err != nil {
+		t.Fatal(err)
+	}
+	f.away[1].Store(true)
+	if err := f.Pause(1, 4*time.Second); err != nil {
+		t.Fatal(err)
+	}
+	n, longest = window(3 * interval)
+	t.Logf("with one killed and one paused: %d checks, %v apart at most", n, longest)
+	if n > 2*3+1 || longest > 2*interval {
+		t.Errorf("with one killed and one paused: %d checks in three intervals, %v apart at most", n, longest)
+	}
+	f.away[1].Store(false)
+}
+
+// TestFaultyFleetTables: an error names file and key before anything listens.
+func TestFaultyFleetTables(t *testing.T) {
+	for _, c := range []struct{ table, want string }{
+		{`listen = "127.0.0.1:0"`, "fleet.name"},
+		{`name = "a"`, "fleet.listen"},
+		{`name = "a"` + "\n" + `listen = "nowhere"`, "fleet.listen"},
+		{`name = "a"` + "\n" + `listen = "127.0.0.1:0"`, "fleet.key_file"},
+		{`name = "a"` + "\n" + `listen = "127.0.0.1:0"` + "\n" + `key_file = "/nonexistent"`, "fleet.key_file: open /nonexistent"},
+		{`name = "a"` + "\n" + `listen = "127.0.0.1:0"` + "\n" + `seeds = ["b"]`, "fleet.seeds[0]"},
+		{`name = "a"` + "\n" + `listen = "127.0.0.1:0"` + "\n" + `sheep = 1`, "fleet.sheep"},
+	} {
+		m, err := standin.Start(standin.Setup{Program: program, Dir: t.TempDir(), Settings: settings, Discovery: "127.0.0.1:1", Broker: "[fleet]\n" + c.table})
+		if err == nil {
+			m.Kill()
+			t.Errorf("%s: it starts", c.table)
+			continue
+		}
+		if log := strings.Join(m.Logs(), "\n"); !strings.Contains(log, c.want) || m.Listen() != "" {
+			t.Errorf("%s: %s", c.table, log)
+		}
+	}
+}
--- a/internal/fleet/duty/duty.go
+++ b/internal/fleet/duty/duty.go
@@ -16,8 +16,9 @@
 	ask    = "ask/"  // somebody doubts the node
 	found  = "node/" // what its owner found
 	word   = "probe/"
-	pace   = 400 * time.Millisecond  // between two checks of a node by its owner
-	wait   = 1500 * time.Millisecond // for what the owner finds
+	pace   = 400 * time.Millisecond  // for so long a good word of the owner's is repeated to whoever asks
+	rest   = 2500 * time.Millisecond // and a bad one: half of what the module waits at most between two checks
+	wait   = 1500 * time.Millisecond // for what the owner finds, before it is checked in its place
 	trust  = 10 * time.Second        // doubted again so soon after another's good word, a node is checked by us
 	mostOf = 4096                    // nodes remembered
 )
@@ -93,14 +94,16 @@
 		p.fleet.Announce(ask+at.ID, nil)
 	}
 	p.core.After(wait, func() {
-		if n.turn == turn && !n.busy {
-			p.tell(n, decide.TimedOut)
+		// Its owner has died, or hears nothing: whoever waits for longest checks it and tells
+		// the others, who then need not.
+		if n.turn == turn && len(n.waiting) > 0 {
+			p.check(at, n, true)
 		}
 	})
 }
 
-// check checks a node ourselves. Its owner tells all.
-func (p *Probes) check(at broker.Node, n *node, mine bool) {
+// check checks a node ourselves; whoever has the duty tells all.
+func (p *Probes) check(at broker.Node, n *node, tells bool) {
 	if n.busy {
 		return
 	}
@@ -108,7 +111,7 @@
 	p.nodes.Probe(at, func(o decide.Outcome) {
 		n.busy, n.result = false, o
 		p.tell(n, o)
-		if mine {
+		if tells {
 			p.fleet.Announce(found+at.ID, []byte{byte(o)})
 		}
 	})
@@ -142,7 +145,8 @@
 	if mine, _ := p.fleet.Mine(word + id); !mine || !listed || n.busy {
 		return
 	}
-	if now-n.checked < pace {
+	// Guards the node against checks that add up though each who asks is patient.
+	if old := now - n.checked; old < pace || old < rest && n.result != decide.OK {
 		p.fleet.Announce(found+id, []byte{byte(n.result)})
 		return
 	}
--- a/internal/standin/crew.go
+++ b/internal/standin/crew.go
@@ -177,6 +177,18 @@
 	return nil
 }
 
+// Twin is how another process of a mixer's name is started, at an address of its own.
+func (c *Crew) Twin(i int, dir string) Setup {
+	at := c.at[i]
+	c.at[i] = ""
+	broker := c.Broker(i, "")
+	c.at[i] = at
+	if c.s.Disk {
+		broker = strings.ReplaceAll(broker, c.Snapshot(i), filepath.Join(dir, "fleet.json"))
+	}
+	return Setup{Program: c.s.Program, Dir: dir, Name: c.Name(i), Settings: c.s.Settings, Discovery: c.s.Dirs[i], Known: c.s.Known, Broker: broker}
+}
+
 // Mixer is one of them.
 func (c *Crew) Mixer(i int) *Mixer {
 	c.mu.Lock()
