--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -264,6 +264,7 @@
 	contest   contest
 	digest    uint64
 	stale     bool // the digest is
+	flawed    bool // a test has it act as if it were never cut off, to see that this is found
 	out       Out
 }
 
--- a/internal/fleet/member/share.go
+++ b/internal/fleet/member/share.go
@@ -10,7 +10,9 @@
 // again at the latest. It looks at the clock that it is given, not at the last Tick: a
 // process that stood still is not whole when it wakes.
 func (m *Machine) Whole(now time.Duration) (whole bool, until time.Duration) {
-	until = m.lease()
+	if until = m.lease(); m.flawed {
+		until = forever
+	}
 	return m.joined && !m.leaving && !m.contest.open && !m.isolated && now < until, until
 }
 
--- a/internal/fleet/member/view.go
+++ b/internal/fleet/member/view.go
@@ -296,7 +296,7 @@
 // mayBury reports whether our judgement may throw somebody out: only whoever has a
 // majority within reach and has been awake for long enough to hear it.
 func (m *Machine) mayBury() bool {
-	return m.self.Ready && !m.isolated && m.now < m.lease() && m.now-m.woke >= m.periods(doubtAfter)
+	return m.flawed || m.self.Ready && !m.isolated && m.now < m.lease() && m.now-m.woke >= m.periods(doubtAfter)
 }
 
 // sound counts the members that nobody doubts, ourselves among them.
@@ -358,7 +358,7 @@
 			reach++
 		}
 	}
-	alone := reach < need || m.now >= m.lease()
+	alone := (reach < need || m.now >= m.lease()) && !m.flawed
 	m.settle()
 	if !alone && m.self.Ready && m.now >= m.backAt {
 		m.wholePart = m.cap
