Measure what a fleet costs a query, and half an hour of faults over nine processes

TestFleetCost starts a mixer alone and one of nine that talk, in turn; TestLongFaults has nine processes live with 30% loss, pauses up to 2 s and links cut one way for as long as it is told.

--- a/Makefile
+++ b/Makefile
@@ -44,9 +44,12 @@
 measure-outage:
 	KITELOFT_MEASURE=1 go test ./bench -run TestOutage -v -count 1
 
-# The view of the fleet, by the machine alone, at 300 members; about two minutes.
+# The view of the fleet: by the machine alone at 300 members and all plans of three and
+# four, what a query costs with it, and nine processes under faults for half an hour.
 measure-fleet:
-	KITELOFT_MEASURE=1 go test ./internal/fleet/member -run 'Large' -v -count 1
+	KITELOFT_MEASURE=1 go test ./internal/fleet/member -run 'Large|EverySmall' -v -count 1 -timeout 30m
+	KITELOFT_MEASURE=1 go test ./bench -run TestFleetCost -v -count 1 -timeout 20m
+	KITELOFT_MEASURE=30 go test ./cmd/kiteloft -run TestLongFaults -v -count 1 -timeout 40m
 
 # The operators' standing test, from a clone; needs the kit beside the repository. WHY is
 # the journal's note.
--- a/bench/process_test.go
+++ b/bench/process_test.go
@@ -31,8 +31,60 @@
 	if os.Getenv("KITELOFT_MEASURE") == "" {
 		t.Skip("a measurement: make measure-traces")
 	}
-	program := build(t)
-	var members []standin.Member
+	program, members := build(t), costNodes(t)
+	compare(t, "traces", func(on bool) (cpu, memory float64) {
+		dir := standin.NewDirectory(members...)
+		defer dir.Close()
+		s := standin.Setup{Program: program, Dir: t.TempDir(), Settings: text, Discovery: dir.Serve(), Known: members}
+		if on {
+			s.Broker = "[tracing]\ndirectory = \"" + filepath.Join(s.Dir, "traces") + "\"\n"
+		}
+		m, err := standin.Start(s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() {
+			if err := m.Stop(); err != nil {
+				t.Error(err)
+			}
+		}()
+		return measure(t, m)
+	})
+}
+
+// TestFleetCost measures the same for a mixer alone and for one of nine that talk.
+func TestFleetCost(t *testing.T) {
+	if os.Getenv("KITELOFT_MEASURE") == "" {
+		t.Skip("a measurement: make measure-fleet")
+	}
+	program, members := build(t), costNodes(t)
+	compare(t, "a fleet of nine", func(on bool) (cpu, memory float64) {
+		dir := standin.NewDirectory(members...)
+		defer dir.Close()
+		s := standin.CrewSetup{Program: program, Dir: t.TempDir(), Mixers: 1, Settings: text, Known: members, Period: 500 * time.Millisecond, Seed: 1}
+		if on {
+			s.Mixers = 9
+		} else {
+			s.Alone = true
+		}
+		for range s.Mixers {
+			s.Dirs = append(s.Dirs, dir.Serve())
+		}
+		c, err := standin.NewCrew(s)
+		defer c.Close()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if on {
+			time.Sleep(8 * time.Second) // until all are ready and all has been told
+		}
+		return measure(t, c.Mixer(0))
+	})
+}
+
+// costNodes are the stock nodes of a measurement.
+func costNodes(t *testing.T) (members []standin.Member) {
+	t.Helper()
 	for i := range nodeCount {
 		n := standin.NewNode(fmt.Sprintf("s-%02d", i), func(p standin.Part) standin.Reply {
 			r := standin.Sound(p)
@@ -47,13 +99,19 @@
 		t.Cleanup(n.Close)
 		members = append(members, standin.Member{ID: n.ID, HostPort: addr, Locality: "a", Cell: i, Phase: "active", Size: 1})
 	}
+	return members
+}
+
+// compare measures without and with something in turn.
+func compare(t *testing.T, what string, measure func(on bool) (cpu, memory float64)) {
+	t.Helper()
 	type cost struct{ cpu, memory float64 }
 	sums := map[bool][]cost{}
 	for round := range 2 * costRounds {
 		on := round%2 == 1
-		cpu, memory := measure(t, program, members, on)
+		cpu, memory := measure(on)
 		sums[on] = append(sums[on], cost{cpu, memory})
-		t.Logf("traces %v: %.0f us of CPU a query, %.1f MB resident", on, cpu, memory)
+		t.Logf("%s %v: %.0f us of CPU a query, %.1f MB resident", what, on, cpu, memory)
 	}
 	median := func(list []cost, of func(cost) float64) float64 {
 		var v []float64
@@ -80,18 +138,9 @@
 	return program
 }
 
-func measure(t *testing.T, program string, members []standin.Member, traced bool) (cpu, memory float64) {
+// measure asks a mixer and returns what a query cost it.
+func measure(t *testing.T, m *standin.Mixer) (cpu, memory float64) {
 	t.Helper()
-	dir := standin.NewDirectory(members...)
-	defer dir.Close()
-	s := standin.Setup{Program: program, Dir: t.TempDir(), Settings: text, Discovery: dir.Serve(), Known: members}
-	if traced {
-		s.Broker = "[tracing]\ndirectory = \"" + filepath.Join(s.Dir, "traces") + "\"\n"
-	}
-	m, err := standin.Start(s)
-	if err != nil {
-		t.Fatal(err)
-	}
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 200}}
 	ask := func(n int) {
 		var wg sync.WaitGroup
@@ -118,9 +167,6 @@
 	cpu = float64((cpuTime(t, m.Cmd.Process.Pid) - before).Microseconds()) / float64(n)
 	memory = resident(t, m.Cmd.Process.Pid)
 	client.CloseIdleConnections()
-	if err := m.Stop(); err != nil {
-		t.Error(err)
-	}
 	return cpu, memory
 }
 
--- a/cmd/kiteloft/fleet_test.go
+++ b/cmd/kiteloft/fleet_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -342,3 +344,42 @@
 		}
 	}
 }
+
+// TestLongFaults has nine processes live with 30% loss, pauses up to 2 s of one to three at
+// once, and single links cut one way, for as many minutes as KITELOFT_MEASURE says: nobody
+// is ever thrown out.
+func TestLongFaults(t *testing.T) {
+	minutes, err := strconv.ParseFloat(os.Getenv("KITELOFT_MEASURE"), 64)
+	if err != nil {
+		t.Skip("KITELOFT_MEASURE names no minutes")
+	}
+	f := newFlock(t, 9, true)
+	time.Sleep(8 * time.Second)
+	rng := rand.New(rand.NewPCG(1, 2))
+	pauses, cuts := 0, 0
+	for until := time.Now().Add(time.Duration(minutes * float64(time.Minute))); time.Now().Before(until); {
+		f.Spoil(nil, nil, standin.Fault{Drop: 0.3, Double: 0.05, Delay: 20 * time.Millisecond})
+		from, to := rng.IntN(9), rng.IntN(9)
+		if from != to {
+			f.Wire(from, to).Spoil(standin.Fault{Drop: 1})
+			cuts++
+		}
+		for _, i := range rng.Perm(9)[:1+rng.IntN(3)] {
+			f.away[i].Store(true)
+			if err := f.Pause(i, time.Duration(500+rng.IntN(1500))*time.Millisecond); err != nil {
+				t.Fatal(err)
+			}
+			pauses++
+		}
+		time.Sleep(5 * time.Second)
+		for i := range 9 {
+			f.away[i].Store(false)
+		}
+		if n := f.changes("gone"); n > 0 {
+			t.Fatalf("%d times somebody was thrown out, after %d pauses", n, pauses)
+		}
+	}
+	f.Spoil(nil, nil, standin.Fault{})
+	t.Logf("%d pauses, %d cuts of a link one way, %d times doubted, nobody thrown out; agreed after %v; %d queries", pauses, cuts, f.changes("doubted"),
+		f.agrees("all agree", 6*fleetPeriod+fleetSlack), f.asked.Load())
+}
--- a/internal/standin/crew.go
+++ b/internal/standin/crew.go
@@ -25,6 +25,7 @@
 	Zones    []string      // by mixer
 	Period   time.Duration // of the fleet's probes
 	Disk     bool          // mixers keep a snapshot
+	Alone    bool          // they don't talk at all
 	Seed     uint64        // of what the links do by lot
 }
 
@@ -112,6 +113,9 @@
 	if listen == "" {
 		listen = "127.0.0.1:0"
 	}
+	if c.s.Alone {
+		return ""
+	}
 	b := &strings.Builder{}
 	fmt.Fprintf(b, "[fleet]\nname = \"stand-in\"\nlisten = %q\nkey_file = %q\nzone = %q\nperiod_ms = %d\nexpected = %d\n", listen,
 		filepath.Join(c.dir(i), "key"), zone, c.s.Period.Milliseconds(), c.s.Mixers)
@@ -159,7 +163,7 @@
 	if err != nil {
 		return err
 	}
-	for until := time.Now().Add(startTime); m.Fleet() == ""; time.Sleep(time.Millisecond) {
+	for until := time.Now().Add(startTime); m.Fleet() == "" && !c.s.Alone; time.Sleep(time.Millisecond) {
 		if time.Now().After(until) {
 			return errors.New("the mixer did not begin its fleet")
 		}
