--- a/bench/process_test.go
+++ b/bench/process_test.go
@@ -71,10 +71,11 @@
 			s.Dirs = append(s.Dirs, dir.Serve())
 		}
 		c, err := standin.NewCrew(s)
-		defer c.Close()
 		if err != nil {
+			c.Close()
 			t.Fatal(err)
 		}
+		defer c.Close()
 		if on {
 			time.Sleep(8 * time.Second) // until all are ready and all has been told
 		}
