--- a/bench/process_test.go
+++ b/bench/process_test.go
@@ -79,6 +79,11 @@
 		if on {
 			time.Sleep(8 * time.Second) // until all are ready and all has been told
 		}
+		pid := c.Mixer(0).Cmd.Process.Pid
+		before := cpuTime(t, pid)
+		time.Sleep(costTime)
+		rest := cpuTime(t, pid) - before
+		t.Logf("a fleet of nine %v: at rest %.2f ms of CPU a second", on, rest.Seconds()*1000/costTime.Seconds())
 		return measure(t, c.Mixer(0))
 	})
 }
