Call one reader of protobuf fields, and drop state of the fleet that can be derived

Twins: internal/otlp and internal/fleet/link each went over protobuf fields; both call internal/fields now. A record's and a doubt's age was worked out in five places, now in told(). State that was only written or follows from other state: when a member last spoke, a machine's birth, a contest's number, the watched by name beside the watched themselves, an update's struct round one number, a connection's linger time beside the constant. Work done again: the name of a key was hashed for each datagram that came or went; it is worked out once, with the key. Two defects: the reader of datagrams ended for good at any error, not only when its socket was closed; a member whose name is contested put its own record into a message that was being filled, though it is to tell nobody of itself until then.

--- a/bench/standing/main.go
+++ b/bench/standing/main.go
@@ -3,12 +3,13 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"os"
 	"path/filepath"
 	"slices"
 	"strings"
+
+	jsoniter "github.com/json-iterator/go"
 )
 
 type entry struct {
@@ -85,7 +86,7 @@
 			os.Exit(2)
 		}
 		var e entry
-		if json.Unmarshal(text, &e) == nil && e.kind() != "" && strings.Contains(fmt.Sprint(e.Days), "mass") {
+		if jsoniter.Unmarshal(text, &e) == nil && e.kind() != "" && strings.Contains(fmt.Sprint(e.Days), "mass") {
 			list = append(list, e)
 		}
 	}
--- /dev/null
+++ b/internal/fields/fields.go
@@ -0,0 +1,34 @@
+// Package fields goes over the fields of protobuf messages, for those who read a few of
+// them without generated code. It is pure.
+package fields
+
+import "google.golang.org/protobuf/encoding/protowire"
+
+// Each calls take with each field of a message: its number, and its value as a number or
+// as bytes; fields of other kinds are passed over. It ends early where take returns false,
+// and reports whether the message was read whole.
+func Each(b []byte, take func(n protowire.Number, x uint64, v []byte) bool) bool {
+	for len(b) > 0 {
+		n, kind, size := protowire.ConsumeTag(b)
+		if size < 0 {
+			return false
+		}
+		b = b[size:]
+		var x uint64
+		var v []byte
+		switch kind {
+		case protowire.VarintType:
+			x, size = protowire.ConsumeVarint(b)
+		case protowire.BytesType:
+			v, size = protowire.ConsumeBytes(b)
+		default:
+			size = protowire.ConsumeFieldValue(n, kind, b)
+		}
+		known := kind == protowire.VarintType || kind == protowire.BytesType
+		if size < 0 || known && !take(n, x, v) {
+			return false
+		}
+		b = b[size:]
+	}
+	return true
+}
--- a/internal/fleet/duty/duty.go
+++ b/internal/fleet/duty/duty.go
@@ -81,12 +81,10 @@
 	n, now := p.of(at.ID), p.core.Now()
 	mine, owned := p.fleet.Mine(word + at.ID)
 	// What another can reach we need not: doubted again at once, it is checked from here.
-	if mine || !owned || now-n.sound < trust {
-		n.waiting = append(n.waiting, done)
+	if n.waiting = append(n.waiting, done); mine || !owned || now-n.sound < trust {
 		p.check(at, n, mine)
 		return
 	}
-	n.waiting = append(n.waiting, done)
 	n.turn++
 	turn := n.turn
 	if now-n.asked >= pace {
--- a/internal/fleet/link/codec.go
+++ b/internal/fleet/link/codec.go
@@ -15,6 +15,7 @@
 
 	"google.golang.org/protobuf/encoding/protowire"
 
+	"kiteloft/internal/fields"
 	"kiteloft/internal/fleet/member"
 )
 
@@ -60,7 +61,19 @@
 // Keys sign and check what is said. The first signs; all are accepted, so that a key can
 // be changed while the fleet runs: add the new one at the end everywhere, then put it
 // first everywhere, then drop the old one.
-type Keys [][]byte
+type Keys []Key
+
+// Key is one of them.
+type Key struct {
+	secret []byte
+	name   [keyName]byte // tells which key signed, without a try
+}
+
+// NewKey returns a key of a secret.
+func NewKey(secret []byte) Key {
+	sum := sha256.Sum256(append([]byte("kiteloft key "), secret...))
+	return Key{secret, [keyName]byte(sum[:])}
+}
 
 // ReadKeys reads a key file: a key a line, 16 bytes at least; empty lines and those that
 // begin with # don't count.
@@ -77,7 +90,7 @@
 		if len(line) < leastKey {
 			return nil, fmt.Errorf("%s: line %d: a key has %d bytes at least", path, i+1, leastKey)
 		}
-		keys = append(keys, []byte(line))
+		keys = append(keys, NewKey([]byte(line)))
 	}
 	if len(keys) == 0 || len(keys) > 2 {
 		return nil, fmt.Errorf("%s: %d keys, want one or two", path, len(keys))
@@ -85,22 +98,16 @@
 	return keys, nil
 }
 
-func nameOf(key []byte) [keyName]byte {
-	sum := sha256.Sum256(append([]byte("kiteloft key "), key...))
-	return [keyName]byte(sum[:])
-}
-
-func digestOf(key, body []byte) []byte {
-	h := hmac.New(sha256.New, key)
+func (k Key) digest(body []byte) []byte {
+	h := hmac.New(sha256.New, k.secret)
 	_, _ = h.Write([]byte{form}) // never fails
 	_, _ = h.Write(body)
 	return h.Sum(nil)[:digestSize]
 }
 
 func (k Keys) seal(body []byte) []byte {
-	name := nameOf(k[0])
-	b := append([]byte{form}, name[:]...)
-	return append(append(b, digestOf(k[0], body)...), body...)
+	b := append([]byte{form}, k[0].name[:]...)
+	return append(append(b, k[0].digest(body)...), body...)
 }
 
 // Errors of what came.
@@ -116,8 +123,7 @@
 		return nil, errBroken
 	}
 	for _, key := range k {
-		if name := nameOf(key); string(name[:]) == string(b[1:1+keyName]) &&
-			hmac.Equal(digestOf(key, b[headerSize:]), b[1+keyName:headerSize]) {
+		if [keyName]byte(b[1:]) == key.name && hmac.Equal(key.digest(b[headerSize:]), b[1+keyName:headerSize]) {
 			return b[headerSize:], nil
 		}
 	}
@@ -196,32 +202,6 @@
 	return putBytes(b, fAnswer, p.answer)
 }
 
-// fields calls f with each field of a message that it knows how to read.
-func fields(b []byte, f func(n protowire.Number, x uint64, v []byte) bool) bool {
-	for len(b) > 0 {
-		n, kind, size := protowire.ConsumeTag(b)
-		if size < 0 {
-			return false
-		}
-		b = b[size:]
-		var x uint64
-		var v []byte
-		switch kind {
-		case protowire.VarintType:
-			x, size = protowire.ConsumeVarint(b)
-		case protowire.BytesType:
-			v, size = protowire.ConsumeBytes(b)
-		default:
-			size = protowire.ConsumeFieldValue(n, kind, b)
-		}
-		if size < 0 || !f(n, x, v) {
-			return false
-		}
-		b = b[size:]
-	}
-	return true
-}
-
 func span(x uint64) time.Duration {
 	return time.Duration(min(x, uint64(math.MaxInt64/int64(time.Millisecond)))) * time.Millisecond
 }
@@ -233,7 +213,7 @@
 		sound = sound && len(v) <= maxName
 		return string(v)
 	}
-	whole := fields(b, func(n protowire.Number, x uint64, v []byte) bool {
+	whole := fields.Each(b, func(n protowire.Number, x uint64, v []byte) bool {
 		switch n {
 		case fFleet:
 			p.fleet = name(v)
@@ -259,17 +239,17 @@
 			p.answer = v
 		case fRecord:
 			var r member.Record
-			sound = sound && fields(v, func(n protowire.Number, x uint64, v []byte) bool { readRecord(&r, n, x, v); return true }) &&
+			sound = sound && fields.Each(v, func(n protowire.Number, x uint64, v []byte) bool { readRecord(&r, n, x, v); return true }) &&
 				len(r.ID) <= maxName && len(r.Zone) <= maxName && len(r.Addr) <= maxName && !math.IsNaN(r.Kept) && r.Kept >= 0 && r.Kept <= 1
 			p.Records = append(p.Records, r)
 		case fDoubt:
 			var d member.Doubt
-			sound = sound && fields(v, func(n protowire.Number, x uint64, v []byte) bool { readDoubt(&d, n, x, v); return true }) &&
+			sound = sound && fields.Each(v, func(n protowire.Number, x uint64, v []byte) bool { readDoubt(&d, n, x, v); return true }) &&
 				len(d.Subject) <= maxName && len(d.Observer) <= maxName
 			p.Doubts = append(p.Doubts, d)
 		case fNews:
 			var w member.News
-			sound = sound && fields(v, func(n protowire.Number, x uint64, v []byte) bool { readNews(&w, n, x, v); return true }) &&
+			sound = sound && fields.Each(v, func(n protowire.Number, x uint64, v []byte) bool { readNews(&w, n, x, v); return true }) &&
 				len(w.Key) <= maxName && len(w.Origin) <= maxName
 			p.News = append(p.News, w)
 		}
--- a/internal/fleet/link/link_test.go
+++ b/internal/fleet/link/link_test.go
@@ -42,7 +42,7 @@
 }
 
 func TestKeysAreChangedWhileTheFleetRuns(t *testing.T) {
-	one, two := []byte("the first key, long"), []byte("the second key, long")
+	one, two := NewKey([]byte("the first key, long")), NewKey([]byte("the second key, long"))
 	steps := []Keys{{one}, {one, two}, {two, one}, {two}}
 	for i, k := range steps {
 		for j := max(0, i-1); j <= min(i+1, len(steps)-1); j++ { // neighbours in the change live together
@@ -140,7 +140,7 @@
 }
 
 func FuzzOpen(f *testing.F) {
-	keys := Keys{[]byte("the first key, long")}
+	keys := Keys{NewKey([]byte("the first key, long"))}
 	f.Add(keys.seal(sample().encode()))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		if body, err := keys.open(b); err == nil && string(keys.seal(body)) != string(b) {
--- a/internal/fleet/member/claim.go
+++ b/internal/fleet/member/claim.go
@@ -8,7 +8,6 @@
 	rival Record
 	since time.Duration
 	askAt time.Duration
-	seq   uint64
 }
 
 // seated reports whether we have our place in the fleet: until then we tell nobody of
@@ -126,9 +125,8 @@
 	}
 	c.askAt = m.now + m.c.Period/2
 	m.seq++
-	c.seq = m.seq
 	m.out.Send = append(m.out.Send, Envelope{Target{m.c.ID, c.rival.Addr},
-		Message{Kind: Ping, From: m.c.ID, Instance: m.c.Instance, To: m.c.ID, Target: c.rival.Instance, Seq: c.seq, Records: []Record{m.self}}})
+		Message{Kind: Ping, From: m.c.ID, Instance: m.c.Instance, To: m.c.ID, Target: c.rival.Instance, Seq: m.seq, Records: []Record{m.self}}})
 }
 
 // rival takes what another process under our name says to us.
--- a/internal/fleet/member/every_test.go
+++ b/internal/fleet/member/every_test.go
@@ -45,9 +45,6 @@
 	return list
 }
 
-// outcome is what a plan's run broke; "": nothing.
-type outcome struct{ broken string }
-
 // failing collects what the world finds wrong, in place of ending the test.
 type failing struct {
 	testing.TB
@@ -63,8 +60,8 @@
 func (f failing) Errorf(format string, args ...any) { f.Fatalf(format, args...) }
 func (f failing) Helper()                           {}
 
-// play runs one plan from a fleet at rest.
-func play(t testing.TB, n int, p plan, states map[uint64]bool, flawed bool) (o outcome) {
+// play runs one plan from a fleet at rest, and returns what it broke; "": nothing.
+func play(t testing.TB, n int, p plan, states map[uint64]bool, flawed bool) (broken string) {
 	defer func() {
 		if r := recover(); r != nil {
 			if _, ok := r.(stopped); !ok {
@@ -72,7 +69,7 @@
 			}
 		}
 	}()
-	w := settle(failing{t, &o.broken}, 1, n)
+	w := settle(failing{t, &broken}, 1, n)
 	for _, q := range w.procs {
 		q.m.flawed = flawed
 	}
@@ -111,7 +108,7 @@
 		}
 		return true
 	})
-	return o
+	return broken
 }
 
 // state is a hash of all views.
@@ -143,8 +140,8 @@
 		begun := time.Now()
 		for i := 0; i < len(all); i += c.step {
 			played++
-			if o := play(t, c.n, all[i], states, false); o.broken != "" {
-				t.Fatalf("%d members, %+v: %s", c.n, all[i], o.broken)
+			if broken := play(t, c.n, all[i], states, false); broken != "" {
+				t.Fatalf("%d members, %+v: %s", c.n, all[i], broken)
 			}
 		}
 		t.Logf("%d members: %d of %d plans, %d states, %v", c.n, played, len(all), len(states), time.Since(begun).Round(time.Second))
@@ -156,8 +153,8 @@
 func TestASeededFaultIsFound(t *testing.T) {
 	all, states := plans(3), map[uint64]bool{}
 	for i := 0; i < len(all); i += 7 {
-		if o := play(t, 3, all[i], states, true); o.broken != "" {
-			t.Logf("found by %+v: %.60s", all[i], o.broken)
+		if broken := play(t, 3, all[i], states, true); broken != "" {
+			t.Logf("found by %+v: %.60s", all[i], broken)
 			return
 		}
 	}
--- a/internal/fleet/member/gossip.go
+++ b/internal/fleet/member/gossip.go
@@ -1,15 +1,13 @@
 package member
 
 import (
+	"cmp"
 	"math/bits"
 	"slices"
 	"strings"
 	"time"
 )
 
-// update is something that others are told until they have been told often enough.
-type update struct{ sends int }
-
 // heardNews is a word that has come.
 type heardNews struct {
 	News
@@ -23,12 +21,10 @@
 
 // enqueue has others told of something, from the beginning if they are being told.
 func (m *Machine) enqueue(key string) {
-	if m.queue[key] == nil {
-		m.queue[key] = &update{}
+	if _, told := m.queue[key]; !told {
 		m.fresh = append(m.fresh, key)
-		return
 	}
-	m.queue[key].sends = 0
+	m.queue[key] = 0
 }
 
 // fill adds updates to a message: those not sent yet first, then the others in turn.
@@ -41,12 +37,7 @@
 		} else {
 			key, m.line = m.line[0], m.line[1:]
 		}
-		u := m.queue[key]
-		if !m.put(msg, key) {
-			delete(m.queue, key)
-			continue
-		}
-		if u.sends++; u.sends >= most {
+		if m.queue[key]++; !m.put(msg, key) || m.queue[key] >= most {
 			delete(m.queue, key)
 			continue
 		}
@@ -59,18 +50,16 @@
 	switch key[0] {
 	case 'r':
 		if key[2:] == m.c.ID {
-			msg.Records = append(msg.Records, m.self)
+			if m.seated() {
+				msg.Records = append(msg.Records, m.self)
+			}
 			return m.seated()
 		}
 		p := m.peers[key[2:]]
 		if p == nil {
 			return false
 		}
-		r := p.Record
-		if r.State != Alive {
-			r.Age = m.now - p.goneAt
-		}
-		msg.Records = append(msg.Records, r)
+		msg.Records = append(msg.Records, p.told(m.now))
 	case 'd':
 		subject, observer := splitDoubtKey(key)
 		held, _ := m.doubtsOf(subject)
@@ -78,9 +67,7 @@
 		if d == nil {
 			return false
 		}
-		said := d.Doubt
-		said.Heard = m.now - d.heardAt
-		msg.Doubts = append(msg.Doubts, said)
+		msg.Doubts = append(msg.Doubts, d.told(m.now))
 	case 'n':
 		n := m.news[key[2:]]
 		if n == nil {
@@ -126,7 +113,7 @@
 	m.news[n.Key] = &heardNews{n, m.now}
 	m.enqueue(newsKey(n.Key))
 	if len(m.news) > mostNews { // guards memory: the oldest has long been told
-		oldest := slices.MinFunc(sortedKeys(m.news), func(a, b string) int { return int(m.news[a].at - m.news[b].at) })
+		oldest := slices.MinFunc(sortedKeys(m.news), func(a, b string) int { return cmp.Compare(m.news[a].at, m.news[b].at) })
 		delete(m.news, oldest)
 	}
 }
--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -151,7 +151,7 @@
 }
 
 // Exchange is a full exchange to begin over a connection. Its end comes back by
-// Exchanged, Unreached or Refused.
+// Exchanged or Refused, or not at all.
 type Exchange struct {
 	Target
 	Message Message
@@ -189,7 +189,6 @@
 
 	// As its observer.
 	heard     time.Duration // last round trip
-	spoke     time.Duration // last message, heard or not
 	since     time.Duration // since when we watch it
 	pingAt    time.Duration
 	asked     bool // helpers have been asked for the last ping
@@ -214,20 +213,34 @@
 	at      time.Duration
 }
 
+// told is the member's record as it is told now: what travels is ages.
+func (p *peer) told(now time.Duration) Record {
+	r := p.Record
+	if r.State != Alive {
+		r.Age = now - p.goneAt
+	}
+	return r
+}
+
+// told is the doubt as it is told now.
+func (d *doubt) told(now time.Duration) Doubt {
+	said := d.Doubt
+	said.Heard = now - d.heardAt
+	return said
+}
+
 // Machine is one mixer's view.
 type Machine struct {
 	c       Config
 	rng     *rand.Rand
 	now     time.Duration
-	born    time.Duration
 	self    Record
 	rings   [observers]uint64
 	peers   map[string]*peer
 	order   []string // ids, sorted
 	alive   int      // members deemed alive, this one among them
 	rewatch bool     // whom we watch has to be chosen anew
-	watch   []string // those that we observe
-	watched []*peer  // the same
+	watched []*peer  // those that we observe, by id
 
 	woke      time.Duration // when we last began after a gap, or at all
 	looked    time.Duration
@@ -255,7 +268,7 @@
 	stray     int
 	seq       uint64
 	pending   map[uint64]pending
-	queue     map[string]*update
+	queue     map[string]int    // what others are told, by key: how often it was sent
 	fresh     []string          // keys of the queue that were not sent yet
 	line      []string          // and of the others, in turn
 	against   map[string]*doubt // what is held against us, by observer
@@ -278,8 +291,8 @@
 
 // New returns a machine. Seeds are asked at the first Tick.
 func New(c Config, now time.Duration) *Machine {
-	m := &Machine{c: c, rng: rand.New(rand.NewPCG(c.Seed, c.Instance)), now: now, born: now, woke: now, looked: now,
-		peers: map[string]*peer{}, pending: map[uint64]pending{}, queue: map[string]*update{}, against: map[string]*doubt{}, news: map[string]*heardNews{}, stale: true}
+	m := &Machine{c: c, rng: rand.New(rand.NewPCG(c.Seed, c.Instance)), now: now, woke: now, looked: now,
+		peers: map[string]*peer{}, pending: map[uint64]pending{}, queue: map[string]int{}, against: map[string]*doubt{}, news: map[string]*heardNews{}, stale: true}
 	m.self = Record{ID: c.ID, Zone: c.Zone, Addr: c.Addr, Instance: c.Instance, Life: Life{Generation: c.Generation + 1}}
 	for _, r := range c.Known {
 		if r.ID != c.ID && r.Addr != "" {
@@ -353,7 +366,6 @@
 	if p == nil || p.Instance != msg.Instance {
 		return // guards against a datagram of long ago: whoever is new comes by a full exchange
 	}
-	p.spoke = m.now
 	m.merge(msg)
 	switch msg.Kind {
 	case Ack:
@@ -379,7 +391,7 @@
 	if msg.From == m.c.ID {
 		m.rival(msg)
 	} else if !m.leaving {
-		m.mergeAll(msg)
+		m.merge(msg)
 	}
 	return m.full(SyncBack, msg.Seq)
 }
@@ -387,7 +399,7 @@
 // Exchanged takes the answer to a full exchange that we began with somebody.
 func (m *Machine) Exchanged(now time.Duration, with Target, msg Message) {
 	m.step(now)
-	m.mergeAll(msg)
+	m.merge(msg)
 	if msg.From == m.c.ID {
 		return // a seed of ours lives under our name; what it says of itself has opened a contest
 	}
@@ -446,15 +458,9 @@
 		if p.forgotten {
 			continue
 		}
-		r := p.Record
-		if r.State != Alive {
-			r.Age = m.now - p.goneAt
-		}
-		msg.Records = append(msg.Records, r)
+		msg.Records = append(msg.Records, p.told(m.now))
 		for _, name := range sortedKeys(p.doubts) {
-			d := p.doubts[name].Doubt
-			d.Heard = m.now - p.doubts[name].heardAt
-			msg.Doubts = append(msg.Doubts, d)
+			msg.Doubts = append(msg.Doubts, p.doubts[name].told(m.now))
 		}
 	}
 	return msg
--- a/internal/fleet/member/probe.go
+++ b/internal/fleet/member/probe.go
@@ -32,14 +32,14 @@
 			chosen[best.ID] = true
 		}
 	}
-	for _, id := range m.watch {
-		if p := m.peers[id]; p != nil && !chosen[id] {
+	for _, p := range m.watched {
+		if m.peers[p.ID] == p && !chosen[p.ID] {
 			m.withdraw(p)
 			p.observed = false
 		}
 	}
-	m.watch, m.watched = sortedKeys(chosen), nil
-	for _, id := range m.watch {
+	m.watched = nil
+	for _, id := range sortedKeys(chosen) {
 		p := m.peers[id]
 		m.watched = append(m.watched, p)
 		if !p.observed {
@@ -118,9 +118,7 @@
 // it can refute only what it hears of.
 func (m *Machine) tellFate(msg *Message, p *peer) {
 	if p.State != Alive {
-		r := p.Record
-		r.Age = m.now - p.goneAt
-		msg.Records = append(msg.Records, r)
+		msg.Records = append(msg.Records, p.told(m.now))
 	}
 }
 
@@ -207,7 +205,7 @@
 func (m *Machine) lease() time.Duration {
 	need, voter := m.needed()
 	if m.alive-1 > observers {
-		need, voter = (len(m.watch)+1)/2, func(Record) bool { return true }
+		need, voter = (len(m.watched)+1)/2, func(Record) bool { return true }
 	}
 	if need <= 0 {
 		return forever
--- a/internal/fleet/member/view.go
+++ b/internal/fleet/member/view.go
@@ -23,14 +23,6 @@
 	}
 }
 
-// mergeAll takes a full exchange, by which members become known.
-func (m *Machine) mergeAll(msg Message) {
-	m.merge(msg)
-	if p := m.peers[msg.From]; p != nil && p.Instance == msg.Instance {
-		p.spoke = m.now
-	}
-}
-
 // mergeRecord takes what is told of a member, if it is newer than what we hold.
 func (m *Machine) mergeRecord(r Record) {
 	if r.ID == m.c.ID {
@@ -105,7 +97,7 @@
 // adopt holds a member as told from now on.
 func (m *Machine) adopt(p *peer, r Record, cause string, fresh bool) {
 	if p.Instance != r.Instance {
-		p.stamp, p.mine, p.heard, p.spoke, p.path, p.observed = 0, nil, 0, 0, "", false
+		p.stamp, p.mine, p.heard, p.path, p.observed = 0, nil, 0, "", false
 	}
 	if p.Life != r.Life {
 		p.lifeAt, p.refused, p.mine = m.now, false, nil
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -70,7 +70,6 @@
 	endBy   time.Duration // closing: when the connection is closed at the latest
 	begun   time.Duration // when the request that is coming in began; 0: none is
 	last    time.Duration // when bytes last came
-	lingers time.Duration // closing: for so long in all
 	said    string        // the id of the query answered last
 }
 
@@ -339,7 +338,7 @@
 	if c.closing {
 		return
 	}
-	c.closing, c.lingers, c.endBy = true, front.LingerTime, c.f.core.Now()+front.LingerTime
+	c.closing, c.endBy = true, c.f.core.Now()+front.LingerTime
 	c.parser = http1.NewRequestParser() // what came in holds no memory any more
 	if c.half && c.conn.Idle() {
 		c.conn.Close(transport.LocalDone)
--- a/internal/otlp/sender.go
+++ b/internal/otlp/sender.go
@@ -13,7 +13,9 @@
 
 	trace "go.opentelemetry.io/proto/otlp/trace/v1"
 	"google.golang.org/protobuf/encoding/protowire"
+
 	"google.golang.org/protobuf/proto"
+	"kiteloft/internal/fields"
 )
 
 const (
@@ -104,55 +106,24 @@
 // partial reads ExportTraceServiceResponse: what a collector says of what it took.
 // An answer that can't be read says nothing.
 func partial(answer []byte) (p Partial) {
-	fields(answer, func(n protowire.Number, _ uint64, b []byte) {
+	fields.Each(answer, func(n protowire.Number, _ uint64, b []byte) bool {
 		if n != 1 { // partial_success
-			return
+			return true
 		}
-		fields(b, func(n protowire.Number, x uint64, b []byte) {
+		fields.Each(b, func(n protowire.Number, x uint64, b []byte) bool {
 			switch n {
 			case 1: // rejected_spans
 				p.Rejected = max(0, int64(x))
 			case 2: // error_message
 				p.Message = string(b)
 			}
+			return true
 		})
+		return true
 	})
 	return p
 }
 
-// fields goes over a message's fields, as numbers or bytes, for as far as it can be
-// read.
-func fields(b []byte, take func(n protowire.Number, x uint64, b []byte)) {
-	for len(b) > 0 {
-		n, kind, size := protowire.ConsumeTag(b)
-		if size < 0 {
-			return
-		}
-		b = b[size:]
-		switch kind {
-		case protowire.VarintType:
-			x, size := protowire.ConsumeVarint(b)
-			if size < 0 {
-				return
-			}
-			take(n, x, nil)
-			b = b[size:]
-		case protowire.BytesType:
-			v, size := protowire.ConsumeBytes(b)
-			if size < 0 {
-				return
-			}
-			take(n, 0, v)
-			b = b[size:]
-		default:
-			if size = protowire.ConsumeFieldValue(n, kind, b); size < 0 {
-				return
-			}
-			b = b[size:]
-		}
-	}
-}
-
 // retryAfter reads the header in both its forms.
 func retryAfter(s string, now time.Time) time.Duration {
 	if n, err := strconv.Atoi(s); err == nil {
--- a/internal/standin/crew.go
+++ b/internal/standin/crew.go
@@ -55,7 +55,7 @@
 
 // NewCrew starts the mixers.
 func NewCrew(s CrewSetup) (*Crew, error) {
-	c := &Crew{s: s, keys: link.Keys{[]byte(crewKey)}, wires: map[[2]int]*Wire{}, at: make([]string, s.Mixers),
+	c := &Crew{s: s, keys: link.Keys{link.NewKey([]byte(crewKey))}, wires: map[[2]int]*Wire{}, at: make([]string, s.Mixers),
 		mixers: make([]*Mixer, s.Mixers), alive: make([]bool, s.Mixers), began: time.Now()}
 	for i := range s.Mixers {
 		for j := range s.Mixers {
--- a/internal/transport/packets.go
+++ b/internal/transport/packets.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"net/netip"
@@ -47,11 +48,11 @@
 	buf := make([]byte, most+1)
 	for {
 		n, from, err := p.conn.ReadFromUDPAddrPort(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
 		if err != nil {
-			if n == 0 && from == (netip.AddrPort{}) {
-				return // closed: a datagram socket has no other end
-			}
-			continue
+			continue // of one datagram; the socket has no other end
 		}
 		// Guards memory and the loop against a flood.
 		if n > most || p.waiting.Load() >= mostPackets {
