Take what discovery tells as told by the strictest reading, and ask again in time

Ruled out: the guard of the core (no line of it), late writes on new connections (the parts went out within a turn), the watch (it had not begun). At fault: askPause in decide.go (1.5 to 5 s, then 3 to 10 s, whatever the number of mixers) and Listed in broker.go (told = when the list came, however late).

- A failed call is repeated soon, then more rarely, by the number of mixers; a watch waits for 4 to 10 s by that number.
An answer that is reset is no answer.
- A FIN of a platform client means that it has gone: its query ends in that turn.
- An attempt that waits for a connection is not written after the window of repeats; nothing is queued behind what a node does not take.
- What was read behind a request, or on a connection that rests, is owed an answer: it is looked for before a connection is shut.
At the end the mixer waits for the clients that are still there.
- Audit: taken and ended, asked and answered or deserted, in the last line of the log; tests check it.
- The bucket for copies begins full: a first query whose parts all went to one silent server was refused after four times its aim (TestChecksOfANodeAreDivided met it on every run once the draws had shifted; a probe in the module showed 0.5 to 0.9 tokens for 4 s).

--- a/cmd/kiteloft/bed_test.go
+++ b/cmd/kiteloft/bed_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -131,6 +132,7 @@
 	nodes     []*standIn
 	members   []member
 	discovery string // address at which it asks, where mixers have one each
+	failFirst int    // so many first calls to discovery are answered by 503
 	collector string // of flows; "": they are not exported
 	extra     string // more of deploy/broker.toml
 	sockets   int    // 0: 1024
@@ -163,6 +165,7 @@
 	t.Helper()
 	b.Directory = standin.NewDirectory(b.members...)
 	t.Cleanup(b.Directory.Close)
+	b.Directory.FailNext(b.failFirst)
 	var err error
 	b.Mixer, err = standin.Start(standin.Setup{Program: program, Dir: t.TempDir(), Settings: settings, Discovery: b.Serve(), Known: b.members,
 		Sockets: b.sockets, Broker: "[flight]\nlisten = \"127.0.0.1:0\"\n[ipfix]\ncollector = \"" + b.collector + "\"\n" + b.extra})
@@ -178,11 +181,30 @@
 	if err := b.Mixer.Stop(); err != nil {
 		t.Error(err)
 	}
+	b.audited(t)
 	if t.Failed() {
 		t.Logf("log:\n%s", strings.Join(b.Logs(), "\n"))
 	}
 }
 
+// audited has a mixer that has ended in order say that each query it took ended once, and
+// each request it read was answered or had lost its client.
+func (b *bed) audited(t *testing.T) {
+	t.Helper()
+	for _, line := range b.Logs() {
+		var a struct {
+			Message                                 string
+			Taken, Ended, Asked, Answered, Deserted int64
+		}
+		if json.Unmarshal([]byte(line), &a) != nil || a.Message != "mixer has ended" {
+			continue
+		}
+		if a.Taken != a.Ended || a.Asked != a.Answered+a.Deserted {
+			t.Errorf("a query was lost, or ended twice: %s", line)
+		}
+	}
+}
+
 // configure writes the mixer's configuration anew.
 func (b *bed) configure(t *testing.T, discovery string) {
 	t.Helper()
--- a/cmd/kiteloft/ending.go
+++ b/cmd/kiteloft/ending.go
@@ -88,12 +88,15 @@
 	e.core.After(max(0, e.kill-lastBefore-e.core.Now()), e.core.EndAll)
 }
 
-// quietly ends the program once nothing is open and nothing has been for a while.
+// quietly ends the program once nothing is open and nothing has been for a while. A client
+// that is still there may have sent what we have read and not looked at: it is waited for,
+// for as long as there is time.
 func (e *ending) quietly() {
 	e.core.After(lingerOn, func() {
 		e.core.Stop(func() {
 			e.core.After(lingerOn, func() {
-				if e.core.Held() > 0 { // asked on a connection that was still open
+				stays := e.front.Clients() > 0 && e.core.Now() < e.kill-lastBefore
+				if stays || e.core.Held() > 0 {
 					e.quietly()
 					return
 				}
--- a/cmd/kiteloft/main.go
+++ b/cmd/kiteloft/main.go
@@ -186,6 +186,7 @@
 	links := node.New(core, net, node.Limits{ConnectTimeout: set.ConnectTimeout, ConnIdle: set.ConnIdle,
 		StreamsPerConn: set.StreamsPerConn}, map[string]node.Protocol{"": node.Frames, nodeflight.Scheme: nodeflight.Protocol}, log)
 	dir := discovery.New(core, net, cfg.Discovery, set.Zones, started.Add(-clockStart), log)
+	dir.Mixers = set.Module.Aggregators
 	core.Use(links, dir)
 	count := &counter{core: core, log: log}
 	core.Count(&count.set)
@@ -233,7 +234,7 @@
 		}
 		links.Start()
 		count.start()
-		dir.Take(cfg.Known)
+		dir.Start(cfg.Known)
 		if fleet != nil {
 			fleet.Listed()
 		}
@@ -262,6 +263,8 @@
 	if failed != nil {
 		return failed
 	}
-	log.Info().Msg("mixer has ended")
+	all, asked := core.Audit(), front.Audit()
+	log.Info().Int64("taken", all.Taken).Int64("ended", all.Ended).Int64("asked", asked.Asked).Int64("answered", asked.Answered).
+		Int64("deserted", asked.Deserted).Msg("mixer has ended")
 	return nil
 }
--- a/decide/api.go
+++ b/decide/api.go
@@ -120,9 +120,18 @@
 type ListChange struct {
 	Full    bool
 	Version int64
+	Told    time.Duration // since when what drains or is gone on it counts as told; 0: since now
 	Servers []Server
 }
 
+// told is since when the change counts as told.
+func (e ListChange) told(now time.Duration) time.Duration {
+	if e.Told == 0 {
+		return now
+	}
+	return min(e.Told, now)
+}
+
 // ListLost says that a Watch or ReadList failed or a subscription broke.
 type ListLost struct{}
 
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -49,7 +49,7 @@
 	coldCare       = 0.75             // share of the cold budget that is used: it is an estimate
 	coldPause      = 4                // windows of the cold budget in which one part may go
 	restMost       = 5 * time.Second  // a suspect is left alone for no longer
-	askShare       = 0.5              // share of AskWithin after which an unanswered request is repeated
+	askShare       = 0.5              // share of AskWithin that a first or repeated call waits at most
 	askSpread      = 40 * hedgeFloor  // of the first call, for each aggregator
 	endTicks       = 2                // ticks kept between an answer and the moment it is due,
 	endTime        = hedgeFloor * 10  // or this, the least that the way to the client may take
@@ -165,7 +165,7 @@
 	}
 	for _, s := range m.order {
 		if bars := !s.listed || s.State != Running; bars != s.barred {
-			s.barred, s.barredAt = bars, m.now
+			s.barred, s.barredAt = bars, e.told(m.now)
 		}
 	}
 	m.dropUnlisted()
@@ -196,21 +196,22 @@
 	}
 	m.subscribed = true
 	m.act(Watch{On: true})
-	m.askAt = m.now + m.askPause()
+	m.askAt = m.now + m.askWithin() // nobody said that it failed
 }
 
+// askPause is short at first, as a watch may have ended just when there was news, then grows: what a list
+// lacks soon counts as told. Where many ask, none is shorter than their first calls were spread over.
 func (m *Module) askPause() time.Duration {
-	base := time.Duration(askShare * float64(max(m.set.AskWithin, time.Second)))
-	m.asks = min(m.asks+1, 2)
-	return time.Duration(float64(base) * (0.3 + 0.7*m.rng.Float64()) * float64(m.asks))
+	base := min(m.askSpan()<<(2*m.asks), time.Duration(askShare*float64(m.askWithin())))
+	m.asks = min(m.asks+1, 8)
+	return time.Duration(float64(base) * (0.3 + 0.7*m.rng.Float64()))
 }
 
 // firstPause is how long the first call waits, drawn from a span that grows with the aggregators. Guards
 // discovery, and them, against asking all at once when most of them start together: what it can't answer
 // before it has waited for too long is refused, and they would go without a list for that and another pause.
 func (m *Module) firstPause() time.Duration {
-	span := min(time.Duration(m.set.Aggregators)*askSpread, time.Duration(askShare*float64(m.set.AskWithin)))
-	return time.Duration(m.draws.Float64() * float64(span))
+	return time.Duration(m.draws.Float64() * float64(m.askSpan()))
 }
 
 // ---- choice: the offset rule, and when a part leaves it ----
--- a/decide/state.go
+++ b/decide/state.go
@@ -291,7 +291,7 @@
 		set: set, rng: rand.New(rand.NewPCG(seed, 0)), draws: rand.New(rand.NewPCG(seed, 1)),
 		servers: map[string]*server{}, holders: map[int][]*server{},
 		queries: map[int64]*query{}, ids: map[string]*query{}, parts: map[string]*part{}, askAt: -1,
-		share: 1 / float64(max(set.Aggregators, 1)), shortest: set.ShortestAim(), idleLimit: math.MaxInt64, lostFresh: lostExcess, usual: make([]usual, len(set.Classes)), tenants: make([]meter, len(set.Tenants)),
+		share: 1 / float64(max(set.Aggregators, 1)), shortest: set.ShortestAim(), idleLimit: math.MaxInt64, lostFresh: lostExcess, tokens: 1, usual: make([]usual, len(set.Classes)), tenants: make([]meter, len(set.Tenants)),
 	}
 	m.set.Classes = slices.Clone(set.Classes)
 	for i := range m.set.Classes {
@@ -452,6 +452,14 @@
 // note writes a rare line for those on call.
 func (m *Module) note(format string, args ...any) { m.act(Log{Line: fmt.Sprintf(format, args...)}) }
 
+// askWithin is AskWithin, where it is set.
+func (m *Module) askWithin() time.Duration { return max(m.set.AskWithin, time.Second) }
+
+// askSpan is the span over which the calls of all aggregators are spread.
+func (m *Module) askSpan() time.Duration {
+	return min(time.Duration(max(m.set.Aggregators, 1))*askSpread, time.Duration(askShare*float64(m.askWithin())))
+}
+
 // coldShare is the share of its capacity that a cold server has now at the least.
 func (m *Module) coldShare(s *server) float64 {
 	return ColdShare(m.now-s.coldSince, m.set.Cold, m.set.ColdFrom)
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -92,6 +92,14 @@
 	Told time.Duration // when it was told that it drains or is gone; 0: with this list
 }
 
+// List is news of the list of nodes.
+type List struct {
+	Full    bool // it names every node
+	Version int64
+	Told    time.Duration // since when what it says counts as told; 0: since now
+	Members []Member
+}
+
 // Stepper is the decision module.
 type Stepper interface {
 	Step(now time.Duration, events []decide.Event) []decide.Action
@@ -108,6 +116,10 @@
 // tick where that is less: the module does so two ticks before.
 const lastGuard = 3 * time.Millisecond
 
+// graceMargin is kept of the time in which a node that drains may be sent something:
+// discovery wrote the word before we heard it.
+const graceMargin = 100 * time.Millisecond
+
 // judgePace is how often the core looks whether clients storm it.
 const judgePace = 100 * time.Millisecond
 
@@ -150,6 +162,7 @@
 	lag      time.Duration   // the longest that a timer was late of late
 	number   int64
 	held     int // open queries and their parts
+	audit    Audit
 	shards   []int
 	stopping bool
 	idle     func() // called once nothing is open, after Stop
@@ -281,6 +294,12 @@
 // After runs fn on the core's goroutine once the time has passed.
 func (c *Core) After(d time.Duration, fn func()) { c.timers.add(c.now+d, fn) }
 
+// Audit counts over the life of the mixer: each query that was taken ends once.
+type Audit struct{ Taken, Ended int64 }
+
+// Audit tells what was taken, and what of it has ended.
+func (c *Core) Audit() Audit { return c.audit }
+
 // Held is the number of open queries and parts.
 func (c *Core) Held() int { return c.held }
 
@@ -384,6 +403,7 @@
 		return Crowded, nil
 	}
 	c.counts.Add(counts.Taken, 1)
+	c.audit.Taken++
 	c.number++
 	q := &query{Query: in, id: "q" + number(c.number), number: c.number, class: &c.set.Module.Classes[in.Class],
 		end: c.now + in.Left}
@@ -469,6 +489,7 @@
 // close forgets a query; what is still out for it is given up.
 func (c *Core) close(q *query, how tracing.How, why decide.Cause) {
 	q.over = true
+	c.audit.Ended++
 	c.counts.Add(ended(how, why), 1)
 	c.held -= q.counted
 	delete(c.queries, q.id)
@@ -536,25 +557,44 @@
 }
 
 // MaySend tells whether an attempt that has waited for a connection may still be
-// written. It guards the rule on drains: the window goes on while a connection is
-// being opened.
-func (c *Core) MaySend(a *Attempt) bool { return !a.over && !c.closed(a.Node.ID) }
+// written: the windows of the rules on drains and on repeats go on while it is opened.
+func (c *Core) MaySend(a *Attempt) bool {
+	return !a.over && a.stop > c.now && !c.closed(a.Node.ID) && c.mayRepeat(a)
+}
 
 // closed tells whether nothing new may go to the node any more.
 func (c *Core) closed(id string) bool {
 	at, told := c.told[id]
-	return c.barred[id] || told && c.now > at+c.set.Module.DrainGrace
+	return c.barred[id] || told && c.now > at+c.set.Module.DrainGrace-min(graceMargin, c.set.Module.DrainGrace/2)
+}
+
+// mayRepeat guards the rule on repeats: what may have run before the attempt, or may yet,
+// is not sent again where its class forbids it, or after the time for which nodes drop it.
+func (c *Core) mayRepeat(a *Attempt) bool {
+	if a.p.q.class.Semantics == decide.Repeatable {
+		return true
+	}
+	for _, other := range a.p.attempts {
+		mayHaveRun := other != a && (!other.over || !other.neverRan)
+		if mayHaveRun && (a.p.q.class.Semantics == decide.Once || c.now >= other.sent+a.p.q.class.MemorySpan) {
+			return false
+		}
+	}
+	return true
 }
 
 // ---- the list of nodes ----
 
 // Listed brings news of the list of nodes.
-func (c *Core) Listed(full bool, version int64, list []Member) {
-	old := maps.Clone(c.members)
-	if full {
+func (c *Core) Listed(l List) {
+	old, list := maps.Clone(c.members), l.Members
+	if l.Full {
 		clear(c.members)
 	}
-	ev := decide.ListChange{Full: full, Version: version}
+	if l.Told <= 0 || l.Told > c.now {
+		l.Told = c.now
+	}
+	ev := decide.ListChange{Full: l.Full, Version: l.Version, Told: l.Told}
 	for _, m := range list {
 		// The strictest reading counts: the first that anybody was told.
 		if at, told := c.told[m.ID]; m.Told > 0 && m.State != decide.Running && (!told || m.Told < at) {
@@ -582,7 +622,7 @@
 		if _, told := c.told[id]; listed && m.State == decide.Running {
 			delete(c.told, id)
 		} else if !told {
-			c.told[id] = c.now
+			c.told[id] = l.Told
 		}
 	}
 	// What is gone for so long is asked for by nobody any more.
--- a/internal/broker/step.go
+++ b/internal/broker/step.go
@@ -139,6 +139,9 @@
 		// Guards the run: a part at a node without its shard voids it.
 		c.guard(q, "holders", "node "+m.ID+" lacks shard "+number(int64(p.shard)))
 		return c.moot(a)
+	case !c.mayRepeat(a):
+		c.guard(q, "repeat", "a part that may have run is not sent again")
+		return c.moot(a)
 	}
 	if p.second {
 		a.From, a.Whole = q.from, q.whole
--- /dev/null
+++ b/internal/broker/windows_test.go
@@ -0,0 +1,102 @@
+package broker
+
+import (
+	"testing"
+	"time"
+
+	"kiteloft/decide"
+)
+
+// TestWhatMayRunAgain: a part's first attempt ends in some way, or not at all, and the module
+// sends it once more. That attempt waits for its connection; its class says until when it may
+// be written.
+func TestWhatMayRunAgain(t *testing.T) {
+	const span = 200 * time.Millisecond
+	const never = -1
+	always := 700 * time.Millisecond // what is left of the query's time bounds it, too
+	classes := []decide.Class{
+		{Name: "repeatable", Need: 1, Floor: 1},
+		{Name: "keyed", Need: 1, Floor: 1, Semantics: decide.Keyed, MemorySpan: span},
+		{Name: "once", Need: 1, Floor: 1, Semantics: decide.Once}}
+	tests := []struct {
+		name  string
+		first decide.Outcome
+		out   bool             // it has not ended
+		until [3]time.Duration // by class
+	}{
+		{"it ran", decide.Failed, false, [3]time.Duration{always, span, never}},
+		{"it may have run", decide.Reset, false, [3]time.Duration{always, span, never}},
+		{"it may yet run", 0, true, [3]time.Duration{always, span, never}},
+		{"it was turned away", decide.Full, false, [3]time.Duration{always, always, always}},
+		{"its connection never came up", decide.ConnectFailed, false, [3]time.Duration{always, always, always}},
+	}
+	for _, tt := range tests {
+		for i, class := range classes {
+			t.Run(tt.name+", "+class.Name, func(t *testing.T) {
+				s := play(t, []decide.Action{send("q1.0")}, nil)
+				s.set.Module.Classes = classes
+				s.ask(t, i)
+				s.script.steps = [][]decide.Action{{send("q1.0")}}
+				s.Post(func() {
+					if s.Core.events = append(s.Core.events, decide.Woken{}); !tt.out {
+						s.Ended(s.calls[0][0], tt.first, 0, nil)
+					}
+				})
+				s.at(tick)
+				if tt.until[i] == never {
+					if len(s.calls) != 1 || len(s.guards) != 1 || s.guards[0] != "repeat" {
+						t.Errorf("%d calls, guards %v", len(s.calls), s.guards)
+					}
+					return
+				}
+				if len(s.calls) != 2 {
+					t.Fatalf("%d calls, guards %v", len(s.calls), s.guards)
+				}
+				again := s.calls[1][0]
+				s.at(tt.until[i] - time.Millisecond)
+				if !s.MaySend(again) {
+					t.Errorf("it may not be written at %v", tt.until[i]-time.Millisecond)
+				}
+				if s.at(tt.until[i] + time.Millisecond); s.MaySend(again) && tt.until[i] != always {
+					t.Errorf("it may be written after %v", tt.until[i])
+				}
+			})
+		}
+	}
+}
+
+// TestAWindowBeginsWhenItWasTold, which may be long before the list that tells it comes: the
+// module hears of it, and an attempt that waits is not written.
+func TestAWindowBeginsWhenItWasTold(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		ago  time.Duration
+		may  bool
+	}{{"now", 0, true}, {"a while ago", 200 * time.Millisecond, true}, {"longer ago than the window", 600 * time.Millisecond, false}} {
+		for _, left := range []bool{false, true} {
+			t.Run(tt.name, func(t *testing.T) {
+				s := play(t, []decide.Action{send("q1.0")})
+				s.set.Module.DrainGrace = 500 * time.Millisecond
+				s.ask(t, 0)
+				s.at(tick)
+				l := List{Version: 2, Members: []Member{{Server: decide.Server{ID: "n0", State: decide.Stopping}}}}
+				if left { // or a whole list that leaves it out
+					l = List{Full: true, Version: 2}
+				}
+				s.Post(func() {
+					l.Told = s.Core.now - tt.ago
+					s.Listed(l)
+				})
+				s.at(2 * tick)
+				if got := s.MaySend(s.calls[0][0]); got != tt.may {
+					t.Errorf("it may be written: %v, want %v", got, tt.may)
+				}
+				for _, e := range s.script.events {
+					if l, ok := e.(decide.ListChange); ok && l.Version == 2 && l.Told != s.Core.now-tt.ago {
+						t.Errorf("the module hears that it was told at %v, want %v", l.Told, s.Core.now-tt.ago)
+					}
+				}
+			})
+		}
+	}
+}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -20,13 +20,14 @@
 var json = jsoniter.ConfigCompatibleWithStandardLibrary
 
 const (
-	hold           = 10 * time.Second        // how long a watch may wait for news
-	patience       = 4 * time.Second         // for an answer to a call that may not wait: it waits its turn
+	hold           = 10 * time.Second        // how long a watch may wait for news, where mixers are many
+	holdLeast      = 4 * time.Second         // and where they are few: what a silent watch misses is found the sooner
+	holdSpread     = 100 * time.Millisecond  // of it for each mixer: discovery works through the calls of all in turn
+	patience       = 2500 * time.Millisecond // for an answer to a call that may not wait: it waits its turn, and what it misses counts as told after missedTime
 	waitPatience   = 1500 * time.Millisecond // beyond its wait, of one that may: what it misses counts as told 2 s after the wait, and asking anew takes time
 	connectTimeout = time.Second
 	maxList        = 8 << 20                 // bytes of a list that we take
 	movePatience   = 1500 * time.Millisecond // the same of a new address, within moveTime: there has to be time to ask again
-	moveTime       = 4 * time.Second         // by when what a new address has to tell counts as told
 	movePace       = 200 * time.Millisecond  // between calls to a new address that fail within it
 	path           = "/registry/instances"
 )
@@ -36,6 +37,8 @@
 	Revision int64   `json:"revision"`
 	Complete bool    `json:"complete"`
 	Members  []Entry `json:"members"`
+
+	Told time.Duration `json:"-"` // since when what it says counts as told, by the module's clock; 0: since now
 }
 
 // Entry is a node in a list.
@@ -74,7 +77,7 @@
 type Core interface {
 	Now() time.Duration
 	After(d time.Duration, fn func())
-	Listed(full bool, version int64, list []broker.Member)
+	Listed(l broker.List)
 	ListLost()
 }
 
@@ -89,7 +92,10 @@
 	Counts   *counts.Set // nil: nothing is counted
 	// Sieve is handed each list of our own watch and returns the one that is believed; nil:
 	// the list is.
-	Sieve    func(List) List
+	Sieve func(List) List
+	// Mixers is how many ask the same discovery; 0: one.
+	Mixers   int
+	told     record
 	revision int64
 	watch    *call // nil: no watch is under way
 	lost     bool
@@ -106,10 +112,11 @@
 	request string
 	watch   bool
 	over    bool
-	whole   bool // the watch begins with the whole list
-	move    int  // the client's moves when it began
-	seq     int  // of the request that is out
-	goesOn  bool // the watch has had its first answer, which comes at once
+	whole   bool          // the watch begins with the whole list
+	move    int           // the client's moves when it began
+	seq     int           // of the request that is out
+	goesOn  bool          // the watch has had its first answer, which comes at once
+	came    time.Duration // when the first byte of the answer came; 0: none has
 }
 
 // New returns a Client. ZeroAt is the Unix time at which the module's clock
@@ -122,11 +129,20 @@
 	return c
 }
 
+// Start hands the core the list that the mixer was started with: it may be out of date,
+// and what it lacks counts as told soon, whether or not a call succeeds.
+func (c *Client) Start(known List) {
+	c.told.current = c.core.Now()
+	c.Take(known)
+}
+
 // Take hands a list to the core.
 func (c *Client) Take(l List) {
 	c.revision = l.Revision
 	if c.Sieve != nil {
+		told := l.Told
 		l = c.Sieve(l)
+		l.Told = told
 	}
 	c.Hear(l)
 }
@@ -142,7 +158,7 @@
 		}
 		members = append(members, m)
 	}
-	c.core.Listed(l.Complete, l.Revision, members)
+	c.core.Listed(broker.List{Full: l.Complete, Version: l.Revision, Told: l.Told, Members: members})
 }
 
 func (c *Client) zone(name string) int {
@@ -181,6 +197,7 @@
 		c.watch.end()
 	}
 	c.addr, c.eager = addr, c.core.Now()+moveTime
+	c.told.moved(c.core.Now())
 	c.moves++
 	c.begin(true)
 }
@@ -193,12 +210,12 @@
 	target, wait := path, time.Duration(0)
 	if k.watch && !k.whole {
 		if k.goesOn {
-			wait = hold
+			wait = min(max(holdLeast, time.Duration(k.c.Mixers)*holdSpread), hold)
 		}
 		target += "?from=" + strconv.FormatInt(k.c.revision, 10) + "&hold_ms=" + strconv.FormatInt(wait.Milliseconds(), 10)
 	}
 	k.request = "GET " + target + " HTTP/1.1\r\nHost: " + k.c.addr + "\r\n\r\n"
-	k.seq++
+	k.seq, k.came = k.seq+1, 0
 	k.c.Counts.Add(counts.DirectoryCalls, 1)
 	seq, most := k.seq, patience
 	switch {
@@ -254,6 +271,7 @@
 	}
 	c.log.Info().Str("discovery", c.addr).Msg("a watch fell silent and is begun anew")
 	c.Counts.Add(counts.DirectoryFailed, 1)
+	c.told.failed()
 	c.silent = true
 	whole := k.whole
 	k.end()
@@ -266,6 +284,7 @@
 	}
 	k.end()
 	k.c.Counts.Add(counts.DirectoryFailed, 1)
+	k.c.told.failed()
 	if k.c.watch == k {
 		k.c.watch = nil
 	}
@@ -291,6 +310,9 @@
 
 // Data implements transport.Handler.
 func (k *call) Data(b []byte) {
+	if k.came == 0 {
+		k.came = k.c.core.Now()
+	}
 	k.parser.Write(b)
 	k.next()
 }
@@ -330,9 +352,11 @@
 			k.c.Read() // guards against the old address's list in place of the new one's
 			return
 		}
+		l.Told = k.c.told.heard(k.c.core.Now(), k.came)
 		k.c.Take(l)
 		return
 	}
+	l.Told = k.c.told.heard(k.c.core.Now(), k.came)
 	if k.whole {
 		k.whole, k.c.revision = false, l.Revision
 	}
@@ -366,8 +390,12 @@
 	if k.over {
 		return
 	}
-	k.parser.EOF()
-	k.next()
+	// An answer without a length ends with its connection, but a reset is no end: what
+	// has come by then may be the beginning of more.
+	if e == transport.PeerClosed {
+		k.parser.EOF()
+		k.next()
+	}
 	if !k.over {
 		k.fail(e.String())
 	}
--- a/internal/fleet/roll/roll.go
+++ b/internal/fleet/roll/roll.go
@@ -35,7 +35,7 @@
 type Core interface {
 	Now() time.Duration
 	After(d time.Duration, fn func())
-	Listed(full bool, version int64, list []broker.Member)
+	Listed(l broker.List)
 }
 
 // Fleet is what it needs of the talk among mixers.
@@ -119,7 +119,7 @@
 
 // following tells the module that it follows the list, though by others.
 func (r *Roll) following() {
-	r.core.After(0, func() { r.core.Listed(false, r.lists.Revision(), nil) })
+	r.core.After(0, func() { r.core.Listed(broker.List{Version: r.lists.Revision()}) })
 }
 
 // Read implements broker.Directory.
@@ -194,7 +194,11 @@
 			r.log.Warn().Str("why", doubts).Msg("lists: what discovery leaves out is not believed yet")
 		}
 	}
-	for _, x := range changed {
+	for i, x := range changed {
+		// What was told before it came, was told to all: the earlier time counts.
+		if x.Told == now && l.Told > 0 {
+			x.Told, changed[i].Told = l.Told, l.Told
+		}
 		// What a list merely leaves out is for who reads it. What others can't know yet, we say.
 		// Who has just begun finds much in its first list that only it did not know.
 		if (x.Life != version.Gone || !missing(lines, x.ID)) && (!l.Complete || r.heard > 0 || r.mine()) {
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -23,7 +23,7 @@
 const (
 	maxBuffered = http1.MaxHead + 2*http1.MaxBody // bytes of requests that wait for an answer before them
 	drainQuiet  = 100 * time.Millisecond          // how long a connection rests before it is closed at the end
-	version     = "HTTP/1.1 "                     // what every response begins with
+	version     = "HTTP/1.1 "
 )
 
 // Front serves clients.
@@ -36,8 +36,16 @@
 	room    front.Room
 	closing bool
 	ready   bool
+	audit   Audit
 }
 
+// Audit counts over the life of the mixer: each request that was read whole is answered,
+// unless its client has gone.
+type Audit struct{ Asked, Answered, Deserted int64 }
+
+// Audit tells what was asked, and what became of it.
+func (f *Front) Audit() Audit { return f.audit }
+
 // Clients is the number of connections.
 func (f *Front) Clients() int { return len(f.clients) }
 
@@ -62,8 +70,6 @@
 	conn    front.Conn
 	parser  *http1.Parser
 	open    *request // the one that is being answered
-	half    bool     // the client sends nothing more
-	begins  bool     // the next response's version has been sent already
 	closing bool
 	rest    time.Duration // since when nothing is open
 	served  bool          // a whole request has come
@@ -108,7 +114,7 @@
 			c.conn.Close(transport.LocalDone)
 			return
 		}
-		if !c.closing && c.open == nil && !c.parser.Started() && (oldest == nil || c.rest < oldest.rest) {
+		if c.rests() && c.conn.Quiet() && (oldest == nil || c.rest < oldest.rest) {
 			oldest = c
 		}
 	}
@@ -146,14 +152,13 @@
 				c.begun = c.f.core.Now()
 			}
 			c.rest = c.f.core.Now()
-			if c.half {
-				c.end()
-			} else if c.parser.Expects() {
+			if c.parser.Expects() {
 				c.conn.Write([]byte(version + "100 Continue\r\n\r\n"))
 			}
 			return
 		}
 		c.begun, c.served = 0, true
+		c.f.audit.Asked++
 		c.serve(m)
 	}
 }
@@ -164,6 +169,7 @@
 		status, why = e.Status, e.Reason
 	}
 	c.f.bad.Info().Int("status", status).Str("why", why).Msg("request refused as malformed")
+	c.f.audit.Asked++ // it has an answer, too
 	c.reply(status, "text/plain", []byte(why+"\n"), 0, true)
 }
 
@@ -297,21 +303,16 @@
 func (c *client) respond(status int, kind string, length int, body []byte, after time.Duration, closes bool) {
 	// Guards descriptors, and the connections that clients may hold, against clients
 	// that ask once and keep what they don't use.
-	closes = closes || c.f.closing || (c.f.room.Busy() || c.half) && !c.parser.Started()
-	c.write(append(head(status, kind, length, after, closes), body...))
+	// What has been read behind this request is owed an answer, too.
+	closes = closes || (c.f.closing || c.f.room.Busy()) && !c.parser.Started() && c.conn.Quiet()
+	c.conn.Write(append(head(status, kind, length, after, closes), body...))
+	c.f.audit.Answered++
 	c.rest = c.f.core.Now()
 	if closes {
 		c.end()
 	}
 }
 
-func (c *client) write(response []byte) {
-	if c.begins {
-		c.begins, response = false, response[len(version):]
-	}
-	c.conn.Write(response)
-}
-
 var reasons = map[int]string{200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
 	413: "Content Too Large", 431: "Request Header Fields Too Large", 500: "Internal Server Error",
 	501: "Not Implemented", 503: "Service Unavailable",
@@ -340,59 +341,57 @@
 	}
 	c.closing, c.endBy = true, c.f.core.Now()+front.LingerTime
 	c.parser = http1.NewRequestParser() // what came in holds no memory any more
-	if c.half && c.conn.Idle() {
-		c.conn.Close(transport.LocalDone)
-		return
-	}
 	c.conn.Finish(transport.LocalDone)
 }
 
-// HalfClosed implements transport.Handler: the client sends no more. If it has
-// only shut down its side, its open request is still owed an answer; if it has
-// closed, nobody waits. TCP tells the one from the other only when something is
-// sent, so the answer is begun: a client that has closed resets.
+// HalfClosed implements transport.Handler. A client of this protocol that sends no more
+// has closed its connection and is gone: TCP shows a close and the end of one direction as
+// the same FIN. Nothing begins for it from here on, so its query ends in this turn, before
+// the module's next step; what it had sent behind that is not looked at.
 func (c *client) HalfClosed() {
-	c.half = true
-	if c.open == nil {
-		c.end()
-		return
-	}
-	c.begins = true
-	c.conn.Write([]byte(version))
-	c.f.core.After(front.ResetWait, c.conn.CloseIfGone)
+	c.gone(transport.PeerClosed)
+	c.conn.Close(transport.PeerClosed)
 }
 
 // Ended implements transport.Handler.
 func (c *client) Ended(e transport.End) {
 	delete(c.f.clients, c)
+	c.gone(e)
+}
+
+// gone ends what is open for a client that is not there any more.
+func (c *client) gone(e transport.End) {
 	c.left(e)
 	c.closing = true
 	if r := c.open; r != nil {
 		c.open = nil
+		c.f.audit.Deserted++
 		r.handle.ClientGone()
 	}
 }
 
+// rests tells whether nothing is open for the client, and nothing has begun to come in.
+func (c *client) rests() bool { return !c.closing && c.open == nil && !c.parser.Started() }
+
 // sweep looks after connections that no event comes for.
 func (f *Front) sweep() {
 	now, keep := f.core.Now(), front.Keep(f.room)
 	for c := range f.clients {
-		c.conn.CloseIfGone()
-		rests := c.open == nil && !c.parser.Started()
+		rests := c.rests()
 		switch {
 		case c.closing:
-			if now > c.endBy || c.half && c.conn.Idle() {
+			if now > c.endBy {
 				c.conn.Close(transport.LocalDone)
 			}
 		case c.open != nil:
-		case !c.served && rests && now-c.rest > front.BeginTime:
+		case !c.served && rests && now-c.rest > front.BeginTime && c.conn.Quiet():
 			// Guards descriptors against clients that connect and say nothing.
 			c.end()
 		case !rests && c.begun > 0 && now-c.begun > front.BeginTime:
 			// And against those that begin a request and never end it. One that came behind
 			// another has not been looked at yet: it has no beginning.
 			c.malformed(&http1.Error{Status: 408, Reason: "the request was not whole in time"})
-		case rests && (f.closing && now-c.rest > drainQuiet || now-c.rest > keep):
+		case rests && (f.closing && now-c.rest > drainQuiet || now-c.rest > keep) && c.conn.Quiet():
 			c.end()
 		}
 	}
--- a/internal/front/query.go
+++ b/internal/front/query.go
@@ -44,6 +44,8 @@
 	Close(e transport.End)
 	CloseIfGone()
 	Idle() bool
+	// Quiet reports whether nothing that the client has sent waits for us.
+	Quiet() bool
 	// Finish says our last words; Close has to follow if the peer does not leave.
 	Finish(e transport.End)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -238,6 +238,12 @@
 	p := ls.peer(n)
 	for len(call) > 0 {
 		l := ls.find(p, call)
+		if l == nil {
+			a := call[0]
+			ls.core.After(0, func() { ls.core.Ended(a, decide.ConnectFailed, 0, nil) })
+			call = call[1:]
+			continue
+		}
 		var batch []*Ticket
 		for len(call) > 0 && (len(batch) == 0 || l.takes(call[:1])) {
 			t := &Ticket{Attempt: call[0], ID: WireID(call[0]), link: l}
@@ -253,14 +259,14 @@
 }
 
 // find returns a connection that takes the call, or else its first part, or a
-// new one.
+// new one; nil where there may be none.
 func (ls *Links) find(p *peer, call []*broker.Attempt) *Link {
 	mute := 0
 	for _, want := range [][]*broker.Attempt{call, call[:1]} {
 		mute = 0
 		for _, l := range p.links {
 			switch {
-			case l.silent():
+			case l.silent(), l.stalled():
 				mute++
 			case l.addr == p.addr && (l.conn == nil || l.fresh() || !l.quiet()) && l.takes(want):
 				return l
@@ -274,10 +280,15 @@
 				return l
 			}
 		}
+		return nil
 	}
 	return ls.open(p)
 }
 
+// stalled tells whether the node does not take what was written. What is written behind
+// that reaches it at a time of its own choosing: after its window, or its query's answer.
+func (l *Link) stalled() bool { return l.conn != nil && !l.conn.Idle() }
+
 // takes tells whether the connection has room. An id that is out, or was given
 // up a moment ago, would make its results ambiguous there.
 func (l *Link) takes(call []*broker.Attempt) bool {
@@ -291,7 +302,7 @@
 	if l.session != nil {
 		room = min(room, l.session.Room())
 	}
-	if l.ended || l.retired || len(call) > room || l.conn != nil && l.conn.Broken() {
+	if l.ended || l.retired || len(call) > room || l.conn != nil && l.conn.Broken() || l.stalled() {
 		return false
 	}
 	for _, a := range call {
@@ -531,7 +542,7 @@
 			l.spoilt(errors.New("bytes that nothing asked for"))
 		} else if !l.partial {
 			l.partial = true
-			l.ls.core.After(stallTime, l.stalled)
+			l.ls.core.After(stallTime, l.halted)
 		}
 	} else if l.retired && l.quiet() {
 		l.conn.Close(transport.BadInput)
@@ -545,16 +556,16 @@
 	l.conn.Close(transport.BadInput)
 }
 
-// stalled guards against a length that doesn't fit: the rest of the message never
+// halted guards against a length that doesn't fit: the rest of the message never
 // comes, and no answer after it could be told from it.
-func (l *Link) stalled() {
+func (l *Link) halted() {
 	l.partial = false
 	if l.ended || !l.session.Partial() {
 		return
 	}
 	if left := l.heard + stallTime - l.ls.core.Now(); left > 0 {
 		l.partial = true
-		l.ls.core.After(left, l.stalled)
+		l.ls.core.After(left, l.halted)
 		return
 	}
 	l.spoilt(errors.New("a message that does not go on"))
--- a/internal/standin/directory.go
+++ b/internal/standin/directory.go
@@ -26,6 +26,7 @@
 	mu       sync.Mutex
 	revision int
 	fails    int // of so many calls one is answered; 0: all are, negative: none is
+	failNext int // so many calls that come next are answered by 503
 	asked    []time.Time
 	answered []time.Time
 	members  []Member
@@ -83,6 +84,12 @@
 			return
 		}
 		d.answered[n] = time.Now()
+		if d.failNext > 0 {
+			d.failNext--
+			d.mu.Unlock()
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		if d.fails < 0 || d.fails > 0 && n%d.fails > 0 {
 			d.mu.Unlock()
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -184,6 +191,23 @@
 	}
 }
 
+// FailNext has so many calls that come next, or are open, answered by 503.
+func (d *Directory) FailNext(n int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.failNext = n
+}
+
+// Cut ends all connections, and with them the watches that are open, without a word.
+func (d *Directory) Cut() {
+	d.mu.Lock()
+	list := slices.Clone(d.servers)
+	d.mu.Unlock()
+	for _, s := range list {
+		s.CloseClientConnections()
+	}
+}
+
 // SetFailing has only one call in so many answered, the others by 503; 0: all are.
 func (d *Directory) SetFailing(oneIn int) {
 	d.mu.Lock()
--- a/internal/standin/frames.go
+++ b/internal/standin/frames.go
@@ -24,6 +24,12 @@
 	if err != nil {
 		return "", err
 	}
+	n.ServeFramesOn(ln)
+	return ln.Addr().String(), nil
+}
+
+// ServeFramesOn does the same at a listener that is there.
+func (n *Node) ServeFramesOn(ln net.Listener) {
 	n.onClose(func() { _ = ln.Close() }) // a second close does no harm
 	go func() {
 		for {
@@ -39,7 +45,6 @@
 			}()
 		}
 	}()
-	return ln.Addr().String(), nil
 }
 
 func (n *Node) serveFrames(c net.Conn, link int) {
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -372,6 +372,22 @@
 	return !c.writing && len(c.pending) == 0
 }
 
+// Quiet reports whether nothing that the peer has sent waits for the owner, as far as can
+// be known: a request that was read before the connection was shut is owed an answer, one
+// that was not may be sent anew.
+func (c *Conn) Quiet() bool {
+	if c.unhandled.Load() > 0 || c.nc.Reader().Len() > 0 {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return true
+	}
+	n, err := unix.IoctlGetInt(c.fd, unix.TIOCINQ)
+	return err != nil || n == 0
+}
+
 // Finish says that nothing more will be written and nothing more is heard. What
 // was written still reaches the peer: a close with bytes unread would reset the
 // connection and could take our last words with it, so what the peer goes on to
--- a/internal/transport/net.go
+++ b/internal/transport/net.go
@@ -141,7 +141,7 @@
 		n.silent = slices.DeleteFunc(n.silent, func(c *Conn) bool { return c.in.Load() > 0 || c.ended() })
 	}
 	for n.open.Load() > n.max-n.max/reserve {
-		i := slices.IndexFunc(n.silent, func(c *Conn) bool { return c.in.Load() == 0 && !c.ended() })
+		i := slices.IndexFunc(n.silent, func(c *Conn) bool { return c.in.Load() == 0 && !c.ended() && c.Quiet() })
 		if i < 0 {
 			return false
 		}
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -153,6 +153,34 @@
 	})
 }
 
+// TestWhatWasReadIsKnownBeforeTheOwnerLooks: bytes that we have read, but that wait for the
+// owner, are owed an answer; a connection on which some wait does not rest.
+func TestWhatWasReadIsKnownBeforeTheOwnerLooks(t *testing.T) {
+	conns, held := make(chan *Conn, 1), make(chan func(), 100) // the owner is busy
+	n := NewNet(owner(held), Limits{Conns: 10, Backlog: 1 << 20}, nil)
+	h := &heard{}
+	ln, err := n.Listen("127.0.0.1:0", func(c *Conn) Handler { conns <- c; return h })
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	peer := connect(t, ln)
+	c := <-conns
+	if !c.Quiet() {
+		t.Error("nothing was sent, and something waits")
+	}
+	_, _ = io.WriteString(peer, "hello")
+	wait(t, "it is known", func() bool { return !c.Quiet() })
+	wait(t, "it has been read", func() bool { return len(held) > 0 })
+	if c.Quiet() {
+		t.Error("what was read and not looked at is not known")
+	}
+	(<-held)()
+	if !c.Quiet() || h.data != "hello" {
+		t.Errorf("the owner has looked at %q, and still something waits", h.data)
+	}
+}
+
 // TestAPeerThatDoesNotRead shows that netpoll's own Flush blocks there, and that
 // Write does not.
 func TestAPeerThatDoesNotRead(t *testing.T) {
