Watch the agent where lists are pushed, and take a query for the customer it names

With three customers in the settings, requests carry Req-Owner (the names on the sockets have it; a build that logged headers showed it), which nobody read: every query counted for the first customer, whose share that used up. At fault: only the module's Watch began to follow discovery, and it asks only where lists are asked for; platform.go left Query.Tenant at 0, the first tenant's index.

The client of discovery watches an agent from the start, again 0.2 s after a call that fails; what it missed counts as told since the agent was last heard of.

--- a/Makefile
+++ b/Makefile
@@ -1,3 +1,4 @@
+.PHONY: brink variants
 .PHONY: build test race lint run fuzz bench measure-traces measure-outage measure-fleet measure-settings measure-zones standing standing-quick
 
 build:
@@ -73,3 +74,11 @@
 	scripts/standing.sh "$(WHY)"
 standing-quick:
 	scripts/standing.sh "$(WHY)" --quick
+
+# The operators' short days on a seed, and those days and the quick standing test on two
+# deployments that are not theirs (deploy/sites); each from a clone, with the kit.
+SEED ?= 1
+brink:
+	scripts/brink.sh "$(WHY)" $(SEED)
+variants:
+	QUICK=1 scripts/brink.sh "$(WHY)" $(SEED) deploy/sites/near.toml deploy/sites/far.toml
--- a/bench/core_test.go
+++ b/bench/core_test.go
@@ -211,7 +211,7 @@
 			if traced {
 				w.record(set)
 			}
-			f := platform.New(w.Core, set.Module.Classes, space{}, zerolog.Nop())
+			f := platform.New(w.Core, set.Module.Classes, nil, space{}, zerolog.Nop())
 			c := &client{}
 			h := f.Accept(c)
 			w.Turn()
--- a/cmd/kiteloft/links_test.go
+++ b/cmd/kiteloft/links_test.go
@@ -37,7 +37,7 @@
 	t.Helper()
 	b.wait(t, what, func() bool {
 		before := len(b.nodes[0].Parts())
-		for range 6 {
+		for range 20 { // fewer miss it by chance
 			if r := (platformWire{}).ask(t, b, query{Class: "lookup", Shards: []int{1}, Deadline: 4 * time.Second}); r.Kind != "served" {
 				t.Fatalf("client got %+v", r)
 			}
--- a/cmd/kiteloft/main.go
+++ b/cmd/kiteloft/main.go
@@ -186,12 +186,12 @@
 	links := node.New(core, net, node.Limits{ConnectTimeout: set.ConnectTimeout, ConnIdle: set.ConnIdle,
 		StreamsPerConn: set.StreamsPerConn}, map[string]node.Protocol{"": node.Frames, nodeflight.Scheme: nodeflight.Protocol}, log)
 	dir := discovery.New(core, net, cfg.Discovery, set.Zones, started.Add(-clockStart), log)
-	dir.Mixers = set.Module.Aggregators
+	dir.Mixers, dir.Pushed = set.Module.Aggregators, !set.Module.AskDiscovery
 	core.Use(links, dir)
 	count := &counter{core: core, log: log}
 	core.Count(&count.set)
 	links.Counts, dir.Counts = &count.set, &count.set
-	front := platform.New(core, set.Module.Classes, net, log)
+	front := platform.New(core, set.Module.Classes, set.Module.Tenants, net, log)
 	ln, err := net.Listen(cfg.Listen, func(c *transport.Conn) transport.Handler { return front.Accept(c) })
 	if err != nil {
 		return fmt.Errorf("LB_LISTEN: %w", err)
--- a/cmd/kiteloft/owed_test.go
+++ b/cmd/kiteloft/owed_test.go
@@ -222,3 +222,29 @@
 		t.Errorf("a part went to the node that drains %v after the watches ended", at)
 	}
 }
+
+// TestPushedListsAreWatched: where lists are pushed, an agent at the address of discovery has
+// them. What it has counts as told from the start, so it is watched though the module asks for
+// nothing, and again at once when a call fails.
+func TestPushedListsAreWatched(t *testing.T) {
+	t.Parallel()
+	b := &bed{failFirst: 2}
+	for i := range 2 {
+		n := standin.NewNode(fmt.Sprintf("s-%d", i), sound)
+		b.nodes = append(b.nodes, n)
+		b.members = append(b.members, member{ID: n.ID, HostPort: platformWire{}.node(t, n), Locality: "a", Cell: i, Phase: "active", Size: 1})
+	}
+	b.run(t, strings.Replace(settings, `"discovery":"ask"`, `"discovery":"push"`, 1))
+	b.Tell(0, "leaving")
+	b.leaves(t, "what the agent has counts")
+	calls := func() int { asked, _ := b.Asked(); return len(asked) }
+	before := calls()
+	b.Cut()
+	b.wait(t, "a watch that has ended is begun anew", func() bool { return calls() > before })
+	b.Tell(0, "active")
+	b.wait(t, "the node is used again", func() bool {
+		n := len(b.nodes[0].Parts())
+		(platformWire{}).ask(t, b, query{Class: "lookup", Shards: []int{1, 2}, Deadline: 4 * time.Second})
+		return len(b.nodes[0].Parts()) > n
+	})
+}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -28,7 +28,7 @@
 	connectTimeout = time.Second
 	maxList        = 8 << 20                 // bytes of a list that we take
 	movePatience   = 1500 * time.Millisecond // the same of a new address, within moveTime: there has to be time to ask again
-	movePace       = 200 * time.Millisecond  // between calls to a new address that fail within it
+	movePace       = 200 * time.Millisecond  // between calls that fail to a new address, within it, or to an agent
 	path           = "/registry/instances"
 )
 
@@ -94,7 +94,10 @@
 	// the list is.
 	Sieve func(List) List
 	// Mixers is how many ask the same discovery; 0: one.
-	Mixers   int
+	Mixers int
+	// Pushed says that lists are pushed to an agent beside us, which is watched from the
+	// start: the module does not ask for it.
+	Pushed   bool
 	told     record
 	revision int64
 	watch    *call // nil: no watch is under way
@@ -132,8 +135,11 @@
 // Start hands the core the list that the mixer was started with: it may be out of date,
 // and what it lacks counts as told soon, whether or not a call succeeds.
 func (c *Client) Start(known List) {
-	c.told.current = c.core.Now()
+	c.told.current, c.told.pushed = c.core.Now(), c.Pushed
 	c.Take(known)
+	if c.Pushed {
+		c.begin(false)
+	}
 }
 
 // Take hands a list to the core.
@@ -211,6 +217,9 @@
 	if k.watch && !k.whole {
 		if k.goesOn {
 			wait = min(max(holdLeast, time.Duration(k.c.Mixers)*holdSpread), hold)
+			if k.c.Pushed {
+				wait = holdLeast // nobody else asks the agent
+			}
 		}
 		target += "?from=" + strconv.FormatInt(k.c.revision, 10) + "&hold_ms=" + strconv.FormatInt(wait.Milliseconds(), 10)
 	}
@@ -271,7 +280,7 @@
 	}
 	c.log.Info().Str("discovery", c.addr).Msg("a watch fell silent and is begun anew")
 	c.Counts.Add(counts.DirectoryFailed, 1)
-	c.told.failed()
+	c.told.silent()
 	c.silent = true
 	whole := k.whole
 	k.end()
@@ -295,12 +304,13 @@
 	switch {
 	case k.move != k.c.moves: // a single call that went to the old address
 		k.c.Read()
-	case k.watch && k.c.core.Now() < k.c.eager:
-		// Guards the told-times after a move: the module's own pauses are longer than
-		// what is allowed then.
+	case k.watch && (k.c.Pushed || k.c.core.Now() < k.c.eager):
+		// Guards the told-times after a move, and those of an agent: the module's own
+		// pauses are longer than what is allowed then.
+		whole := k.whole || k.c.core.Now() < k.c.eager
 		k.c.core.After(movePace, func() {
 			if k.c.watch == nil && k.move == k.c.moves {
-				k.c.begin(true)
+				k.c.begin(whole)
 			}
 		})
 	default:
--- a/internal/discovery/told.go
+++ b/internal/discovery/told.go
@@ -19,17 +19,28 @@
 // it was written; what came after a call that failed, ended without a word, was given up or
 // fell silent may have been there ever since discovery was last heard of.
 type record struct {
+	pushed  bool          // an agent has the list: what that has counts as told at once
 	current time.Duration // when what we hold was last known to be all that there was
-	broken  bool          // since then a call has brought nothing
-	by      time.Duration // when what a new address has to tell counts as told; 0: there is none
+	by      time.Duration // since when what comes next counts as told at the latest; 0: since it comes
 }
 
 // failed notes that a call has brought nothing.
-func (r *record) failed() { r.broken = true }
+func (r *record) failed() {
+	if r.pushed {
+		r.atMost(r.current)
+	} else {
+		r.atMost(r.current + missedTime)
+	}
+}
+
+// silent notes that a watch has brought nothing, for as long as it may.
+func (r *record) silent() { r.atMost(r.current + missedTime) }
 
 // moved notes that another address is followed from now on.
-func (r *record) moved(now time.Duration) {
-	if by := now + moveTime; r.by == 0 || by < r.by {
+func (r *record) moved(now time.Duration) { r.atMost(now + moveTime) }
+
+func (r *record) atMost(by time.Duration) {
+	if r.by == 0 || by < r.by {
 		r.by = by
 	}
 }
@@ -38,12 +49,9 @@
 // says counts as told.
 func (r *record) heard(now, first time.Duration) time.Duration {
 	told := max(first, now-piecesTime)
-	if r.broken {
-		told = min(told, r.current+missedTime)
-	}
 	if r.by > 0 {
 		told = min(told, r.by)
 	}
-	*r = record{current: max(r.current, first)}
+	r.current, r.by = max(r.current, first), 0
 	return told
 }
--- a/internal/front/flight/flight.go
+++ b/internal/front/flight/flight.go
@@ -260,7 +260,7 @@
 	if err == nil {
 		err = front.CheckKey(k.key, &f.set[q.Class], &q)
 	}
-	q.Left = f.set[q.Class].Deadline
+	q.Tenant, q.Left = front.NoTenant, f.set[q.Class].Deadline
 	if err == nil && k.timeout != "" {
 		q.Left, err = h2.ParseTimeout(k.timeout)
 	}
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -30,6 +30,7 @@
 type Front struct {
 	core    front.Core
 	classes map[string]int
+	tenants map[string]int
 	set     []decide.Class
 	bad     zerolog.Logger // lines on malformed requests
 	clients map[*client]struct{}
@@ -52,10 +53,10 @@
 // Drain tells those who check our health to send nobody here any more.
 func (f *Front) Drain() { f.ready = false }
 
-// New returns a Front for the classes. It answers that it is ready once Ready
-// is called.
-func New(core front.Core, classes []decide.Class, room front.Room, log zerolog.Logger) *Front {
-	return &Front{core: core, room: room, classes: front.Classes(classes), set: classes, bad: front.Sampled(log), clients: map[*client]struct{}{}}
+// New returns a Front for the classes and tenants. It answers that it is ready once
+// Ready is called.
+func New(core front.Core, classes []decide.Class, tenants []decide.Tenant, room front.Room, log zerolog.Logger) *Front {
+	return &Front{core: core, room: room, classes: front.Classes(classes), tenants: front.Tenants(tenants), set: classes, bad: front.Sampled(log), clients: map[*client]struct{}{}}
 }
 
 // Ready lets health checks pass and starts to look after connections.
@@ -236,8 +237,11 @@
 	if err != nil || ms <= 0 || ms > 24*3600*1000 {
 		return q, 400, "Req-Deadline-Ms is no time"
 	}
-	q = broker.Query{WireID: id, Class: class, Left: time.Duration(ms) * time.Millisecond,
+	q = broker.Query{WireID: id, Class: class, Tenant: front.NoTenant, Left: time.Duration(ms) * time.Millisecond,
 		Repeat: m.Header.Get("req-retry") == "1", Front: "platform"}
+	if n, ok := f.tenants[m.Header.Get("req-owner")]; ok {
+		q.Tenant = n
+	}
 	q.Context = tracing.ReadContext(m.Header.Get("traceparent"), m.Header.Get("tracestate"))
 	if err := front.CheckKey(m.Header.Get("idempotency-key"), &f.set[class], &q); err != nil {
 		return q, 400, err.Error()
--- a/internal/front/query.go
+++ b/internal/front/query.go
@@ -146,6 +146,19 @@
 	return s != "" && len(s) <= maxWord
 }
 
+// NoTenant is the tenant of a query that names none, or one that the settings don't know:
+// it uses up nobody's share.
+const NoTenant = -1
+
+// Tenants finds tenants by name.
+func Tenants(list []decide.Tenant) map[string]int {
+	m := map[string]int{}
+	for i, t := range list {
+		m[t.Name] = i
+	}
+	return m
+}
+
 // Classes finds classes by name.
 func Classes(list []decide.Class) map[string]int {
 	m := map[string]int{}
