--- a/cmd/kiteloft/bed_test.go
+++ b/cmd/kiteloft/bed_test.go
@@ -131,11 +131,12 @@
 	*standin.Directory
 	nodes     []*standIn
 	members   []member
-	discovery string // address at which it asks, where mixers have one each
-	failFirst int    // so many first calls to discovery are answered by 503
-	collector string // of flows; "": they are not exported
-	extra     string // more of deploy/broker.toml
-	sockets   int    // 0: 1024
+	discovery string                     // address at which it asks, where mixers have one each
+	sick      func(d *standin.Directory) // done to discovery before the start; nil: nothing
+	failFirst int                        // so many first calls to discovery are answered by 503
+	collector string                     // of flows; "": they are not exported
+	extra     string                     // more of deploy/broker.toml
+	sockets   int                        // 0: 1024
 }
 
 // start runs a mixer over two stock nodes that hold every shard.
@@ -166,8 +167,12 @@
 	b.Directory = standin.NewDirectory(b.members...)
 	t.Cleanup(b.Directory.Close)
 	b.Directory.FailNext(b.failFirst)
+	if b.sick != nil {
+		b.sick(b.Directory)
+	}
+	b.discovery = b.Serve()
 	var err error
-	b.Mixer, err = standin.Start(standin.Setup{Program: program, Dir: t.TempDir(), Settings: settings, Discovery: b.Serve(), Known: b.members,
+	b.Mixer, err = standin.Start(standin.Setup{Program: program, Dir: t.TempDir(), Settings: settings, Discovery: b.discovery, Known: b.members,
 		Sockets: b.sockets, Broker: "[flight]\nlisten = \"127.0.0.1:0\"\n[ipfix]\ncollector = \"" + b.collector + "\"\n" + b.extra})
 	if err != nil {
 		t.Fatal(err)
--- a/cmd/kiteloft/owed_test.go
+++ b/cmd/kiteloft/owed_test.go
@@ -248,3 +248,40 @@
 		return len(b.nodes[0].Parts()) > n
 	})
 }
+
+// TestReadyWhateverDiscoveryDoes: a mixer that starts with a list from before takes clients and
+// serves them though discovery is down, turns calls away or never answers, and follows it once
+// it is well.
+func TestReadyWhateverDiscoveryDoes(t *testing.T) {
+	t.Parallel()
+	tests := []struct {
+		name       string
+		sick, well func(d *standin.Directory)
+	}{
+		{"turns all calls away", func(d *standin.Directory) { d.SetDown(true) }, func(d *standin.Directory) { d.SetDown(false) }},
+		{"turns away nine in ten", func(d *standin.Directory) { d.SetFailing(10) }, func(d *standin.Directory) { d.SetFailing(0) }},
+		{"never answers", func(d *standin.Directory) { d.Hold(true) }, func(d *standin.Directory) { d.Hold(false) }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			b := &bed{sick: tt.sick}
+			for i := range 2 {
+				n := standin.NewNode(fmt.Sprintf("s-%d", i), sound)
+				b.nodes = append(b.nodes, n)
+				b.members = append(b.members, member{ID: n.ID, HostPort: platformWire{}.node(t, n), Locality: "a", Cell: i, Phase: "active", Size: 1})
+			}
+			b.run(t, settings) // until it is ready
+			calls := func() int { asked, _ := b.Asked(); return len(asked) }
+			b.wait(t, "it has asked", func() bool { return calls() > 0 })
+			for range 5 {
+				if r := (platformWire{}).ask(t, b, query{Class: "lookup", Shards: []int{1, 2}, Deadline: 4 * time.Second}); r.Kind != "served" {
+					t.Errorf("client got %+v", r)
+				}
+			}
+			b.Tell(0, "leaving")
+			tt.well(b.Directory)
+			b.wait(t, "it has heard what there is", func() bool { return b.Told(b.discovery) })
+		})
+	}
+}
--- a/internal/standin/directory.go
+++ b/internal/standin/directory.go
@@ -32,6 +32,7 @@
 	members  []Member
 	changed  map[string]int // revision of each member's latest change
 	news     chan struct{}
+	holds    bool           // calls that come are never answered
 	muted    time.Time      // calls that came before it are never answered
 	calls    map[string]int // by the address called
 	told     map[string]int // the latest revision that went out, by the address called
@@ -78,7 +79,7 @@
 	for late := hold == 0; ; {
 		d.mu.Lock()
 		news := d.news
-		if came.Before(d.muted) {
+		if d.holds || came.Before(d.muted) {
 			d.mu.Unlock()
 			<-r.Context().Done()
 			return
@@ -181,6 +182,13 @@
 	d.muted = time.Now()
 }
 
+// Hold has calls that come from now on never be answered, or be again.
+func (d *Directory) Hold(on bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.holds = on
+}
+
 // SetDown has every call answered by 503, or not.
 func (d *Directory) SetDown(down bool) {
 	d.mu.Lock()
