Look at a late part every 10 ms at most, so that a cut zone does not use up a mixer's CPU

Ruled out: crossing closes, the core's last guard, descriptors, a loop that stands still (timers 4 to 25 ms late). At fault: nextDue in decide.go asked to be woken two ticks on for a part past its trigger; where mixers are many a tick is 1 ms, so that a query whose parts can't be copied cost 375 steps a second. The test counts 750 steps in 2 s without the change. Also: a stand-in waits for its port to be free again when it comes back (TestTheLeadersZoneGoesDark).

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -144,7 +144,7 @@
 		case p.live() == nil:
 			due = min(due, max(p.tryAt, m.now+m.tick()))
 		case m.mayCopy(p):
-			due = min(due, max(p.live().sent+m.trigger(p), m.now+latePollTicks*m.tick()))
+			due = min(due, max(p.live().sent+m.trigger(p), m.now+max(latePollTicks*m.tick(), endTime)))
 		}
 	}
 	return due
--- a/decide/first_test.go
+++ b/decide/first_test.go
@@ -1,6 +1,9 @@
 package decide
 
-import "testing"
+import (
+	"testing"
+	"time"
+)
 
 // TestTheFirstQueryAtASilentServer: all parts of a mixer's first query go to one server, which
 // says nothing; the other holder is sound. There is no traffic for tokens to come from, and
@@ -31,3 +34,28 @@
 		t.Errorf("it had %d answers by 1.5 times its aim; sends: %v", final, r.sent)
 	}
 }
+
+// TestLatePartsAreLookedAtNowAndThen: a part is past its trigger and can't be copied. Where a
+// tick is short, looking at it every other tick cost a mixer all the CPU that it may use: in the
+// seconds in which a zone was cut off, queries were lost.
+func TestLatePartsAreLookedAtNowAndThen(t *testing.T) {
+	set := testSettings()
+	set.Tick, set.FurtherWindow, set.Classes[0].LateValue = ms, 0, 0.1
+	r := newRig(t, set, "a") // nobody else holds it
+	r.query(0, 3)
+	steps, due := 0, r.now
+	for end := r.now + 2*time.Second; r.now < end; {
+		for _, a := range r.actions {
+			if w, ok := a.(Wake); ok {
+				due = r.now + w.After
+			}
+		}
+		if r.now = max(due, r.now+set.Tick); r.now < end {
+			steps++
+			r.step(Woken{Token: "due"})
+		}
+	}
+	if steps < 20 || steps > 250 {
+		t.Errorf("%d steps in 2 s for a part that waits", steps)
+	}
+}
--- a/internal/standin/wire.go
+++ b/internal/standin/wire.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"kiteloft/internal/standin/faults"
@@ -230,6 +231,9 @@
 	<-done
 }
 
+// portTime is how long a port may be somebody else's.
+const portTime = 10 * time.Second
+
 // Refuse has connections refused, as a machine does whose process has died, or not.
 func (w *Wire) Refuse(on bool) error {
 	w.mu.Lock()
@@ -242,6 +246,10 @@
 		return w.tcp.Close()
 	}
 	ln, err := net.Listen("tcp", w.host)
+	// While nobody listened there, somebody's connection may have been given the port.
+	for until := time.Now().Add(portTime); errors.Is(err, syscall.EADDRINUSE) && time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
+		ln, err = net.Listen("tcp", w.host)
+	}
 	if err != nil {
 		w.refuses = true
 		return fmt.Errorf("stand-in: %w", err)
