Tests of drains share one bed of two nodes and one watch for the last part

Read again: the two nodes that hold every shard were set up in four places, and when the draining one got its last part was followed by the same loop in three tests.

--- a/cmd/kiteloft/bed_test.go
+++ b/cmd/kiteloft/bed_test.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -150,6 +151,14 @@
 func startProbed(t *testing.T, p protocol, do func(part) reply, probed func(node string, link int) bool) *bed {
 	t.Helper()
 	b := &bed{}
+	b.pair(t, p, do, probed)
+	b.run(t, settings)
+	return b
+}
+
+// pair adds two stock nodes that hold every shard.
+func (b *bed) pair(t *testing.T, p protocol, do func(part) reply, probed func(node string, link int) bool) {
+	t.Helper()
 	for i := range 2 {
 		n := standin.NewNode(fmt.Sprintf("s-%d", i), do)
 		if probed != nil {
@@ -158,8 +167,34 @@
 		b.nodes = append(b.nodes, n)
 		b.members = append(b.members, member{ID: n.ID, HostPort: p.node(t, n), Locality: "a", Cell: i, Phase: "active", Size: 1})
 	}
-	b.run(t, settings)
-	return b
+}
+
+// lastPart is when the first node got its last part.
+type lastPart struct{ at atomic.Int64 }
+
+// answer is what both nodes do.
+func (l *lastPart) answer(p part) reply {
+	if p.Node == "s-0" {
+		l.at.Store(time.Now().UnixNano())
+	}
+	return sound(p)
+}
+
+// since asks all the while until so long after a moment, and returns how long after it the
+// first node got its last part.
+func (l *lastPart) since(t *testing.T, b *bed, begun time.Time, length time.Duration) time.Duration {
+	t.Helper()
+	for time.Since(begun) < length {
+		(platformWire{}).ask(t, b, query{Class: "lookup", Shards: []int{1, 2}, Deadline: 4 * time.Second})
+		time.Sleep(20 * time.Millisecond)
+	}
+	return time.Unix(0, l.at.Load()).Sub(begun)
+}
+
+// calls is how often discovery was asked.
+func (b *bed) calls() int {
+	asked, _ := b.Asked()
+	return len(asked)
 }
 
 func (b *bed) run(t *testing.T, settings string) {
--- a/cmd/kiteloft/owed_test.go
+++ b/cmd/kiteloft/owed_test.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"os"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -174,25 +173,12 @@
 func TestADrainThatFailedCallsMiss(t *testing.T) {
 	t.Parallel()
 	b := &bed{failFirst: 3}
-	var last atomic.Int64 // when the node that drains got a part
-	for i := range 2 {
-		n := standin.NewNode(fmt.Sprintf("s-%d", i), func(p part) reply {
-			if p.Node == "s-0" {
-				last.Store(time.Now().UnixNano())
-			}
-			return sound(p)
-		})
-		b.nodes = append(b.nodes, n)
-		b.members = append(b.members, member{ID: n.ID, HostPort: platformWire{}.node(t, n), Locality: "a", Cell: i, Phase: "active", Size: 1})
-	}
+	var last lastPart
+	b.pair(t, platformWire{}, last.answer, nil)
 	begun := time.Now()
 	b.run(t, settings)
 	b.Tell(0, "leaving")
-	for time.Since(begun) < 12*time.Second {
-		(platformWire{}).ask(t, b, query{Class: "lookup", Shards: []int{1, 2}, Deadline: 4 * time.Second})
-		time.Sleep(20 * time.Millisecond)
-	}
-	if at := time.Unix(0, last.Load()).Sub(begun); at > 8*time.Second {
+	if at := last.since(t, b, begun, 12*time.Second); at > 8*time.Second {
 		t.Errorf("a part went to the node that drains %v after the start", at)
 	}
 }
@@ -201,24 +187,14 @@
 // again in time, though the next call fails.
 func TestAWatchThatEndsWithoutAWord(t *testing.T) {
 	t.Parallel()
-	var last atomic.Int64
-	b := start(t, platformWire{}, func(p part) reply {
-		if p.Node == "s-0" {
-			last.Store(time.Now().UnixNano())
-		}
-		return sound(p)
-	})
-	calls := func() int { asked, _ := b.Asked(); return len(asked) }
-	b.wait(t, "it watches", func() bool { return calls() >= 2 })
+	var last lastPart
+	b := start(t, platformWire{}, last.answer)
+	b.wait(t, "it watches", func() bool { return b.calls() >= 2 })
 	cut := time.Now()
 	b.FailNext(3)
 	b.Cut()
 	b.Tell(0, "leaving")
-	for time.Since(cut) < 12*time.Second {
-		(platformWire{}).ask(t, b, query{Class: "lookup", Shards: []int{1, 2}, Deadline: 4 * time.Second})
-		time.Sleep(20 * time.Millisecond)
-	}
-	if at := time.Unix(0, last.Load()).Sub(cut); at > 8*time.Second {
+	if at := last.since(t, b, cut, 12*time.Second); at > 8*time.Second {
 		t.Errorf("a part went to the node that drains %v after the watches ended", at)
 	}
 }
@@ -229,18 +205,13 @@
 func TestPushedListsAreWatched(t *testing.T) {
 	t.Parallel()
 	b := &bed{failFirst: 2}
-	for i := range 2 {
-		n := standin.NewNode(fmt.Sprintf("s-%d", i), sound)
-		b.nodes = append(b.nodes, n)
-		b.members = append(b.members, member{ID: n.ID, HostPort: platformWire{}.node(t, n), Locality: "a", Cell: i, Phase: "active", Size: 1})
-	}
+	b.pair(t, platformWire{}, sound, nil)
 	b.run(t, strings.Replace(settings, `"discovery":"ask"`, `"discovery":"push"`, 1))
 	b.Tell(0, "leaving")
 	b.leaves(t, "what the agent has counts")
-	calls := func() int { asked, _ := b.Asked(); return len(asked) }
-	before := calls()
+	before := b.calls()
 	b.Cut()
-	b.wait(t, "a watch that has ended is begun anew", func() bool { return calls() > before })
+	b.wait(t, "a watch that has ended is begun anew", func() bool { return b.calls() > before })
 	b.Tell(0, "active")
 	b.wait(t, "the node is used again", func() bool {
 		n := len(b.nodes[0].Parts())
@@ -266,14 +237,9 @@
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
 			b := &bed{sick: tt.sick}
-			for i := range 2 {
-				n := standin.NewNode(fmt.Sprintf("s-%d", i), sound)
-				b.nodes = append(b.nodes, n)
-				b.members = append(b.members, member{ID: n.ID, HostPort: platformWire{}.node(t, n), Locality: "a", Cell: i, Phase: "active", Size: 1})
-			}
+			b.pair(t, platformWire{}, sound, nil)
 			b.run(t, settings) // until it is ready
-			calls := func() int { asked, _ := b.Asked(); return len(asked) }
-			b.wait(t, "it has asked", func() bool { return calls() > 0 })
+			b.wait(t, "it has asked", func() bool { return b.calls() > 0 })
 			for range 5 {
 				if r := (platformWire{}).ask(t, b, query{Class: "lookup", Shards: []int{1, 2}, Deadline: 4 * time.Second}); r.Kind != "served" {
 					t.Errorf("client got %+v", r)
--- a/cmd/kiteloft/reload_test.go
+++ b/cmd/kiteloft/reload_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -58,28 +57,18 @@
 // which that counts as told, 2 s after the watch's wait is over, the mixer has asked anew.
 func TestASilentWatchMissesADrain(t *testing.T) {
 	t.Parallel()
-	var last atomic.Int64 // when the node that drains got a part
-	b := start(t, platformWire{}, func(p part) reply {
-		if p.Node == "s-0" {
-			last.Store(time.Now().UnixNano())
-		}
-		return sound(p)
-	})
-	calls := func() int { asked, _ := b.Asked(); return len(asked) }
-	b.wait(t, "it watches", func() bool { return calls() >= 2 })
+	var last lastPart
+	b := start(t, platformWire{}, last.answer)
+	b.wait(t, "it watches", func() bool { return b.calls() >= 2 })
 	begun := time.Now() // of a wait of 10 s, at the latest
 	b.Mute()
 	b.Tell(0, "leaving")
-	for time.Since(begun) < 16*time.Second {
-		(platformWire{}).ask(t, b, query{Class: "lookup", Shards: []int{1, 2}, Deadline: 4 * time.Second})
-		time.Sleep(20 * time.Millisecond)
-	}
-	if at := time.Unix(0, last.Load()).Sub(begun); at > 14*time.Second {
+	if at := last.since(t, b, begun, 16*time.Second); at > 14*time.Second {
 		t.Errorf("a part went to the node that drains %v after its watch's wait began", at)
 	} else {
 		t.Logf("the last one %v after", at)
 	}
-	if calls() < 3 {
+	if b.calls() < 3 {
 		t.Error("the watch was not begun anew")
 	}
 }
