--- a/internal/standin/mixer.go
+++ b/internal/standin/mixer.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"os/exec"
@@ -44,6 +45,7 @@
 	fleet  string
 	logs   []string
 	deaf   chan struct{}
+	stderr io.Closer
 }
 
 // startTime is how long a mixer may take until it is ready.
@@ -65,6 +67,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("stand-in: %w", err)
 	}
+	m.stderr = stderr
 	if err := m.Cmd.Start(); err != nil {
 		return nil, fmt.Errorf("stand-in: %w", err)
 	}
@@ -195,6 +198,9 @@
 	m.deaf = until
 }
 
+// CloseLog closes the reading end of the mixer's log: a write to it fails from then on.
+func (m *Mixer) CloseLog() { _ = m.stderr.Close() } // it may be closed already
+
 // Stop ends the mixer as a planned restart does; it has to end by itself.
 func (m *Mixer) Stop() error {
 	if m.Cmd.ProcessState != nil {
