Dial discovery past connects that hang, and outlive the reader of the log

Cause: all dials shared 24 goroutines and one queue, so a call to discovery waited behind connects to servers that were cut off (12 s and more), and it counted against a limit that clients and servers can fill: the told-times of drains passed unheard. A log line to a closed pipe raised SIGPIPE. Ruled out: netpoll's dial itself, which times out as told. Change: Net.Direct, two goroutines of its own and no limit; SIGPIPE is ignored; signals are taken before anything else in main, since a hang-up before that ended the program.

--- a/cmd/kiteloft/main.go
+++ b/cmd/kiteloft/main.go
@@ -49,10 +49,11 @@
 }
 
 func main() {
+	sig := notify() // first of all: a hang-up would end the program until then
 	var f flags
 	kong.Parse(&f, kong.Name("kiteloft"), kong.Vars{"version": revision()},
 		kong.Description("The mixer: a broker between the services that ask for stock and the stock nodes."))
-	os.Exit(run(f))
+	os.Exit(run(f, sig))
 }
 
 // revision is the one that the program was built from.
@@ -73,7 +74,7 @@
 	return rev + dirty
 }
 
-func run(f flags) int {
+func run(f flags, sig signals) int {
 	getenv := os.Getenv
 	if f.Config != "" {
 		getenv = func(key string) string {
@@ -94,7 +95,6 @@
 	out := logTo(os.Stderr)
 	defer func() { _ = out.Close() }() // nobody is left to tell
 	log := zerolog.New(out).With().Timestamp().Logger()
-	sig := notify()
 	cfg, err := config.Load(getenv, brokerFile)
 	if err != nil {
 		log.Error().Err(err).Msg("configuration is faulty")
@@ -143,6 +143,9 @@
 	s := signals{make(chan os.Signal, 1), make(chan os.Signal, 1)}
 	signal.Notify(s.end, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(s.again, syscall.SIGHUP)
+	// Guards against the end of whoever reads our log: a write to it then fails, and would
+	// end the program as well.
+	signal.Ignore(syscall.SIGPIPE)
 	return s
 }
 
@@ -185,7 +188,7 @@
 	net := transport.NewNet(core, transport.Limits{Conns: cfg.Sockets - ownFiles, Backlog: cfg.MemoryMB << 20 / backlogShare}, ended)
 	links := node.New(core, net, node.Limits{ConnectTimeout: set.ConnectTimeout, ConnIdle: set.ConnIdle,
 		StreamsPerConn: set.StreamsPerConn}, map[string]node.Protocol{"": node.Frames, nodeflight.Scheme: nodeflight.Protocol}, log)
-	dir := discovery.New(core, net, cfg.Discovery, set.Zones, started.Add(-clockStart), log)
+	dir := discovery.New(core, net.Direct(), cfg.Discovery, set.Zones, started.Add(-clockStart), log)
 	dir.Mixers, dir.Pushed = set.Module.Aggregators, !set.Module.AskDiscovery
 	core.Use(links, dir)
 	count := &counter{core: core, log: log}
--- a/internal/transport/net.go
+++ b/internal/transport/net.go
@@ -19,9 +19,11 @@
 )
 
 const (
-	dialers  = 24  // dials under way at once; each may hang for the time to connect
-	maxDials = 256 // dials that wait for one of them
-	reserve  = 8   // one in so many connections is kept for those that we open
+	dialers       = 24  // dials under way at once; each may hang for the time to connect
+	maxDials      = 256 // dials that wait for one of them
+	directDialers = 2   // the same for a Direct dialer: a watch, and one call beside it
+	directDials   = 4
+	reserve       = 8 // one in so many connections is kept for those that we open
 	// readAtOnce bounds the kernel's buffer of what a peer has sent, and with it what
 	// netpoll makes room for at a time: up to 8 MB for a peer at full speed otherwise.
 	readAtOnce = 64 << 10
@@ -97,8 +99,7 @@
 	onEnd func(Stats)
 	max   int64
 	open  atomic.Int64
-	dials chan dial
-	once  sync.Once
+	dials *dialQueue
 
 	backlog atomic.Int64 // bytes read that wait for the owner's goroutine
 	most    int64        // of them, before one connection may have only its fair share
@@ -113,6 +114,49 @@
 	done    func(*Conn, End)
 }
 
+// dialQueue holds dials until one of its goroutines is free; they start with the first dial.
+type dialQueue struct {
+	waiting chan dial
+	workers int
+	once    sync.Once
+}
+
+func newDialQueue(workers, waiting int) *dialQueue {
+	return &dialQueue{waiting: make(chan dial, waiting), workers: workers}
+}
+
+// add hands over a dial, or reports that there is no room.
+func (q *dialQueue) add(n *Net, d dial) bool {
+	q.once.Do(func() {
+		for range q.workers {
+			go n.dialLoop(q.waiting)
+		}
+	})
+	select {
+	case q.waiting <- d:
+		return true
+	default:
+		return false
+	}
+}
+
+// Direct is a Dialer with a queue of its own and without the limit on connections, for a
+// few connections that must not wait: dials that hang, and clients and servers that hold
+// all descriptors, do not keep it from its peer. The few that it can hold are the owner's
+// to reserve.
+func (n *Net) Direct() Dialer { return direct{n, newDialQueue(directDialers, directDials)} }
+
+type direct struct {
+	net   *Net
+	queue *dialQueue
+}
+
+// Dial implements Dialer.
+func (d direct) Dial(addr string, timeout time.Duration, h Handler, done func(*Conn, End)) {
+	d.net.open.Add(1)
+	d.net.enqueue(d.queue, dial{addr, timeout, h, done})
+}
+
 // Limits bound what a Net holds.
 type Limits struct {
 	Conns   int   // connections
@@ -122,7 +166,7 @@
 // NewNet returns a Net whose callbacks are posted to p. OnEnd, which may be nil, is
 // told of each connection that ended.
 func NewNet(p Poster, lim Limits, onEnd func(Stats)) *Net {
-	return &Net{post: p, onEnd: onEnd, max: int64(lim.Conns), dials: make(chan dial, maxDials), most: lim.Backlog}
+	return &Net{post: p, onEnd: onEnd, max: int64(lim.Conns), dials: newDialQueue(dialers, maxDials), most: lim.Backlog}
 }
 
 // Crowded reports whether accepted connections will soon be turned away.
@@ -156,32 +200,27 @@
 // Dial opens a connection without blocking; done is posted with it, or with the
 // way in which it failed. A timeout of zero means netpoll's own.
 func (n *Net) Dial(addr string, timeout time.Duration, h Handler, done func(*Conn, End)) {
-	n.once.Do(func() {
-		for range dialers {
-			go n.dialLoop()
-		}
-	})
-	fail := func(e End) { n.post.Post(func() { done(nil, e) }) }
-	if _, err := netip.ParseAddrPort(addr); err != nil {
-		fail(NotDialed) // guards against names: there is no DNS
-		return
-	}
 	// Guards the limit on descriptors.
 	if n.open.Add(1) > n.max {
 		n.open.Add(-1)
-		fail(NoDescriptor)
+		n.post.Post(func() { done(nil, NoDescriptor) })
 		return
 	}
-	select {
-	case n.dials <- dial{addr, timeout, h, done}:
-	default: // guards against a queue of dials that all hang
+	n.enqueue(n.dials, dial{addr, timeout, h, done})
+}
+
+// enqueue queues a dial that has been counted as open.
+func (n *Net) enqueue(q *dialQueue, d dial) {
+	_, err := netip.ParseAddrPort(d.addr) // guards against names: there is no DNS
+	// The queue guards against dials that all hang.
+	if err != nil || !q.add(n, d) {
 		n.open.Add(-1)
-		fail(NotDialed)
+		n.post.Post(func() { d.done(nil, NotDialed) })
 	}
 }
 
-func (n *Net) dialLoop() {
-	for d := range n.dials {
+func (n *Net) dialLoop(waiting <-chan dial) {
+	for d := range waiting {
 		nc, err := netpoll.DialConnection("tcp", d.addr, d.timeout)
 		if err != nil {
 			n.open.Add(-1)
