--- a/cmd/kiteloft/crossings_test.go
+++ b/cmd/kiteloft/crossings_test.go
@@ -80,3 +80,104 @@
 		t.Errorf("client got %+v", r)
 	}
 }
+
+// silentFor answers nothing for requests whose id begins so, and is sound for all others.
+func silentFor(prefix string) func(part) reply {
+	return func(p part) reply {
+		if strings.HasPrefix(p.ID, prefix) {
+			return reply{}
+		}
+		return sound(p)
+	}
+}
+
+// withDeadline is a request with another deadline than request gives it.
+func withDeadline(id string, deadline time.Duration) string {
+	return strings.Replace(request(id, lookup, ""), "Ms: 4000", fmt.Sprintf("Ms: %d", deadline.Milliseconds()), 1)
+}
+
+// TestAPipelinedRequestHasItsOwnTime: a request is read behind one that is slow, and a third one
+// comes while both wait. The time of the second began when it was whole, not when the connection
+// last brought bytes: its servers may not be told of more than its client has left.
+func TestAPipelinedRequestHasItsOwnTime(t *testing.T) {
+	t.Parallel()
+	const first, second = 1 * time.Second, 1600 * time.Millisecond
+	b := start(t, platformWire{}, silentFor("slow"))
+	c := dial(t, b)
+	_, _ = io.WriteString(c, withDeadline("slow", first)+withDeadline("behind", second))
+	sent := time.Now()
+	b.wait(t, "the first is with the servers", func() bool { return len(b.parts()) > 0 })
+	time.Sleep(first*8/10 - time.Since(sent))
+	_, _ = io.WriteString(c, withDeadline("third", second))
+	_ = responses(t, c, 3)
+	seen := false
+	for _, p := range b.parts() {
+		if strings.HasPrefix(p.ID, "behind") {
+			seen = true
+			// 0.15 s of slack are the protocol's.
+			if left := second - p.At.Sub(sent); p.Wait > left+150*time.Millisecond {
+				t.Errorf("%s was told that %v are left, its client has %v", p.ID, p.Wait, left)
+			}
+		}
+	}
+	if !seen {
+		t.Error("no part of the second request came")
+	}
+}
+
+// TestWhatWasReadBeforeAFloodIsAnswered: a client sends more behind an open request than is held
+// for one connection, and stays. Every request that was read whole is owed its answer; the close
+// comes after them.
+func TestWhatWasReadBeforeAFloodIsAnswered(t *testing.T) {
+	t.Parallel()
+	b := start(t, platformWire{}, func(p part) reply {
+		r := sound(p)
+		if strings.HasPrefix(p.ID, "first") {
+			r.After = 500 * time.Millisecond
+		}
+		return r
+	})
+	c := dial(t, b)
+	_, _ = io.WriteString(c, request("first", lookup, ""))
+	b.wait(t, "the first is with the servers", func() bool { return len(b.parts()) > 0 })
+	go func() {
+		for i := range 2000 { // some 0.5 MB
+			if _, err := io.WriteString(c, request(fmt.Sprintf("flood%d", i), lookup, "")); err != nil {
+				return
+			}
+		}
+	}()
+	r := bufio.NewReader(c)
+	answers := 0
+	for closes := false; !closes; answers++ {
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil {
+			t.Fatalf("after %d answers: %v", answers, err)
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		closes = resp.Close
+	}
+	// As many as fit into what is held for one connection, 144 KiB, are whole there.
+	if least := 400; answers < least {
+		t.Errorf("%d answers, want %d", answers, least)
+	}
+}
+
+// TestTheLastAnswersLeaveBeforeTheKill: no server answers any more when the mixer is told to end. It may be held
+// up for 0.15 s between reading its clock and writing, and as long before it hears of the signal.
+func TestTheLastAnswersLeaveBeforeTheKill(t *testing.T) {
+	t.Parallel()
+	const killed, heldUp = 3700 * time.Millisecond, 150 * time.Millisecond
+	b := start(t, platformWire{}, silent)
+	c := dial(t, b)
+	_, _ = io.WriteString(c, withDeadline("open", 6*time.Second))
+	b.wait(t, "it is with the servers", func() bool { return len(b.parts()) > 0 })
+	told := time.Now()
+	if err := b.Cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	_ = responses(t, c, 1)
+	if took := time.Since(told); took > killed-2*heldUp {
+		t.Errorf("the last answer came %v after SIGTERM, want it by %v", took, killed-2*heldUp)
+	}
+}
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -65,6 +65,7 @@
 	skimmed       int64       // bytes passed over; the worker's own
 	unhandled     atomic.Int64
 	net           *Net
+	send          sendFunc
 	in, reads     atomic.Int64
 	local, remote net.Addr
 
@@ -83,8 +84,15 @@
 	told    bool   // Ended has been posted
 }
 
+// sendFunc writes to a descriptor without waiting; tests have it fail.
+type sendFunc func(fd int, b []byte) (int, error)
+
+func sendNow(fd int, b []byte) (int, error) {
+	return unix.SendmsgN(fd, b, nil, nil, unix.MSG_NOSIGNAL|unix.MSG_DONTWAIT)
+}
+
 func (n *Net) newConn(nc netpoll.Connection, dialed bool) *Conn {
-	c := &Conn{post: n.post, nc: nc, dialed: dialed, onEnd: n.onEnd, opened: time.Now(), net: n,
+	c := &Conn{post: n.post, nc: nc, dialed: dialed, onEnd: n.onEnd, opened: time.Now(), net: n, send: sendNow,
 		local: nc.LocalAddr(), remote: nc.RemoteAddr()}
 	if f, ok := nc.(netpoll.Conn); ok {
 		c.fd = f.Fd()
@@ -243,7 +251,7 @@
 	c.writes++
 	var fail End
 	if !c.writing {
-		n, err := writeNow(c.fd, b)
+		n, err := c.writeNow(b)
 		c.written += int64(n)
 		b = b[n:]
 		if err != nil {
@@ -273,10 +281,10 @@
 }
 
 // writeNow writes what the kernel takes without waiting.
-func writeNow(fd int, b []byte) (int, error) {
+func (c *Conn) writeNow(b []byte) (int, error) {
 	n := 0
 	for n < len(b) {
-		m, err := unix.SendmsgN(fd, b[n:], nil, nil, unix.MSG_NOSIGNAL|unix.MSG_DONTWAIT)
+		m, err := c.send(c.fd, b[n:])
 		switch {
 		case err == nil:
 			n += m
@@ -348,7 +356,7 @@
 	if c.closed {
 		return 0, net.ErrClosed
 	}
-	return writeNow(c.fd, b)
+	return c.writeNow(b)
 }
 
 // Broken reports whether nothing more can be written.
