A request's own time, answers for what was read before a flood, writes that fail for a moment

Cause: (1) a pipelined request's time counted from the connection's last bytes, so that bytes of a third one gave the second more time than its client had, and its servers were told so. (2) A client that pipelined past 144 KiB was closed with its open request and all that had been read behind unanswered. (3) ENOBUFS and ENOMEM marked a sound connection broken, and an error that the poller does not see left it so for ever; waiting bytes went through netpoll's Flush, which tells neither what was taken nor why it failed. Change: arrivals keeps when the bytes of each request came, as read from the socket, not as looked at; a flood ends with the answers to what is whole and then 413; what the system does not take is tried again every 1 to 20 ms, with the exact count of what was taken, and a failed write that nobody tells of ends its connection within 0.2 s. The writer to a closed descriptor is tested at drainOnce.

--- /dev/null
+++ b/internal/front/platform/arrivals_test.go
@@ -0,0 +1,42 @@
+package platform
+
+import (
+	"testing"
+	"time"
+)
+
+func TestArrivals(t *testing.T) {
+	const now = time.Hour
+	var a arrivals
+	if got := a.whole(0, now); got != now {
+		t.Errorf("nothing has come: %v", got)
+	}
+	a.add(100, 1) // a request of 80 bytes, and 20 of the next
+	a.add(50, 2)  // which ends here, at 120
+	a.add(10, 3)  // the one behind it
+	for _, tt := range []struct {
+		waiting int
+		want    time.Duration
+	}{{80, 1}, {40, 2}, {10, 2}, {0, 3}} {
+		if got := a.whole(tt.waiting, now); got != tt.want {
+			t.Errorf("%d bytes wait: %v, want %v", tt.waiting, got, tt.want)
+		}
+	}
+	for i := range 10 * mostArrivals { // a request that comes byte by byte
+		a.add(1, time.Duration(10+i))
+		a.unfinished()
+	}
+	if a.add(1, 5000); a.whole(0, now) != 5000 {
+		t.Errorf("a slow request counts as come at %v", a.whole(0, now))
+	}
+	a.unfinished()
+	for i := range 10 * mostArrivals {
+		a.add(1, time.Duration(10+i))
+	}
+	if len(a.list) > mostArrivals {
+		t.Errorf("%d are kept", len(a.list))
+	}
+	if got := a.whole(0, now); got > 10+mostArrivals {
+		t.Errorf("bytes that can't be told apart count as come at %v", got)
+	}
+}
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -76,8 +76,9 @@
 	served  bool          // a whole request has come
 	endBy   time.Duration // closing: when the connection is closed at the latest
 	begun   time.Duration // when the request that is coming in began; 0: none is
-	last    time.Duration // when bytes last came
-	said    string        // the id of the query answered last
+	arrived arrivals
+	flooded bool   // more came than is held: what follows is passed over
+	said    string // the id of the query answered last
 }
 
 // request is a query's way back to its client. It implements broker.Answerer.
@@ -126,15 +127,24 @@
 
 // Data implements transport.Handler.
 func (c *client) Data(b []byte) {
-	c.last = c.f.core.Now()
-	if c.closing {
+	if c.closing || c.flooded {
 		return
 	}
 	c.parser.Write(b)
+	c.arrived.add(len(b), c.f.core.Instant()-c.conn.Waited())
 	c.next()
-	// Guards memory against a client that pipelines without end.
+	// Guards memory against a client that pipelines without end. What was read whole is owed
+	// an answer.
 	if c.open != nil && c.parser.Buffered() > maxBuffered {
-		c.conn.Close(transport.PeerFlooded)
+		c.flooded = true
+	}
+}
+
+// Truncated implements transport.Truncated.
+func (c *client) Truncated() {
+	if !c.closing {
+		c.flooded = true
+		c.next()
 	}
 }
 
@@ -146,7 +156,12 @@
 			c.malformed(err)
 			return
 		}
+		if m == nil && c.flooded {
+			c.malformed(&http1.Error{Status: 413, Reason: "too much at once"})
+			return
+		}
 		if m == nil {
+			c.arrived.unfinished()
 			if !c.parser.Started() {
 				c.begun = 0
 			} else if c.begun == 0 {
@@ -200,12 +215,13 @@
 		text(status, why)
 		return
 	}
-	// A pipelined request has waited for the answers before it, on its own time.
-	if q.Left -= c.f.core.Now() - c.last; q.Left <= 0 {
+	// Its time began when it was whole: it may have waited for our turn, and a pipelined one
+	// for the answers before it.
+	now := c.f.core.Now()
+	if q.Left -= now - c.arrived.whole(c.parser.Buffered(), now); q.Left <= 0 {
 		text(504, "out of time")
 		return
 	}
-	now := c.f.core.Now()
 	r := &request{c: c, close: m.Close, id: q.WireID, came: now, due: now + q.Left}
 	q.Answerer = r
 	verdict, handle := c.f.core.Take(q)
@@ -346,7 +362,7 @@
 		return
 	}
 	c.closing, c.endBy = true, c.f.core.Now()+front.LingerTime
-	c.parser = http1.NewRequestParser() // what came in holds no memory any more
+	c.parser, c.arrived = http1.NewRequestParser(), arrivals{} // what came in holds no memory any more
 	c.conn.Finish(transport.LocalDone)
 }
 
--- a/internal/front/platform/platform_test.go
+++ b/internal/front/platform/platform_test.go
@@ -23,6 +23,7 @@
 }
 
 func (d *desk) Now() time.Duration              { return d.now }
+func (d *desk) Instant() time.Duration          { return d.now }
 func (d *desk) After(_ time.Duration, f func()) { d.due = append(d.due, f) }
 func (d *desk) Post(fn func())                  { fn() }
 func (d *desk) Take(q broker.Query) (broker.Verdict, *broker.Handle) {
@@ -51,6 +52,7 @@
 func (l *line) Close(e transport.End)  { l.ends = append(l.ends, e) }
 func (l *line) CloseIfGone()           {}
 func (l *line) Quiet() bool            { return !l.loud }
+func (l *line) Waited() time.Duration  { return 0 }
 func (l *line) Idle() bool             { return true }
 func (l *line) Finish(e transport.End) { l.ends = append(l.ends, e) }
 
--- a/internal/front/query.go
+++ b/internal/front/query.go
@@ -33,6 +33,8 @@
 // Core is what a front needs of the core.
 type Core interface {
 	Now() time.Duration
+	// Instant is the clock at this very moment, where Now is that of the present turn.
+	Instant() time.Duration
 	After(d time.Duration, fn func())
 	Take(q broker.Query) (broker.Verdict, *broker.Handle)
 	Post(fn func())
@@ -44,6 +46,8 @@
 	Close(e transport.End)
 	CloseIfGone()
 	Idle() bool
+	// Waited is how long the bytes of the present Data have waited for us.
+	Waited() time.Duration
 	// Quiet reports whether nothing that the client has sent waits for us.
 	Quiet() bool
 	// Finish says our last words; Close has to follow if the peer does not leave.
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -13,12 +13,14 @@
 )
 
 const (
-	maxPending   = 1 << 20               // bytes that may wait for a peer that reads slowly
-	maxUnhandled = 256 << 10             // bytes read on one connection that wait for the owner's goroutine
-	fairUnread   = 96 << 10              // the same while there is much on all: as much as a client's longest request
-	maxSkimmed   = 80 << 20              // bytes passed over while a client takes our last words
-	stallTime    = 2 * time.Second       // how long a peer may take for what waits for it
-	lingerCheck  = 50 * time.Millisecond // pace at which a half-closed connection is looked at
+	maxPending   = 1 << 20                // bytes that may wait for a peer that reads slowly
+	maxUnhandled = 256 << 10              // bytes read on one connection that wait for the owner's goroutine
+	fairUnread   = 96 << 10               // the same while there is much on all: as much as a client's longest request
+	maxSkimmed   = 80 << 20               // bytes passed over while a client takes our last words
+	stallTime    = 2 * time.Second        // how long a peer may take for what waits for it
+	retryLeast   = time.Millisecond       // after a write that the system did not take, doubled up to
+	retryMost    = 20 * time.Millisecond  // this while it takes nothing
+	endWait      = 200 * time.Millisecond // by when the poller tells of the end of a connection on which a write failed
 )
 
 // Handler is told what happens on a connection, on the owner's goroutine.
@@ -31,6 +33,10 @@
 	Ended(e End)
 }
 
+// Truncated is a Handler that wants to know when bytes of the peer's were dropped, because it
+// sent more than is held for one connection: nothing more comes after what came before.
+type Truncated interface{ Truncated() }
+
 // Ignorer is a Handler that wants to know what came, at first, once it had said its last
 // words: evidence for whoever looks for a lost request.
 type Ignorer interface{ Ignored(b []byte) }
@@ -64,6 +70,7 @@
 	skims         atomic.Bool // what still comes is read and passed over
 	skimmed       int64       // bytes passed over; the worker's own
 	unhandled     atomic.Int64
+	waited        time.Duration // how long the bytes that the owner looks at have waited for it; the owner's own
 	net           *Net
 	send          sendFunc
 	in, reads     atomic.Int64
@@ -107,6 +114,7 @@
 	if n == 0 {
 		return
 	}
+	read := time.Now()
 	c.in.Add(int64(n))
 	c.reads.Add(1)
 	take := 0
@@ -124,6 +132,7 @@
 		return
 	}
 	_ = r.Release() // fails only on a closed connection
+	cut := take < n && !c.skims.Load()
 	if take < n {
 		c.skims.Store(true)
 		if c.skimmed += int64(n - take); c.dialed || c.skimmed > maxSkimmed {
@@ -131,12 +140,13 @@
 			return
 		}
 	}
-	if take == 0 {
+	if take == 0 && !cut {
 		return
 	}
 	c.post.Post(func() {
 		c.unhandled.Add(-int64(take))
 		c.net.backlog.Add(-int64(take))
+		c.waited = time.Since(read)
 		// A peer's last words count, though it has left since; after an end of our
 		// own nothing does.
 		if !c.muted.Load() {
@@ -144,9 +154,16 @@
 		} else if h, ok := c.h.(Ignorer); ok {
 			h.Ignored(b[:min(len(b), mostIgnored)])
 		}
+		if h, ok := c.h.(Truncated); ok && cut && !c.muted.Load() {
+			h.Truncated()
+		}
 	})
 }
 
+// Waited is how long the bytes of the present Data have waited for the owner since they were
+// read.
+func (c *Conn) Waited() time.Duration { return c.waited }
+
 // tellIgnored hands what is passed over, at first, to a handler that wants to know.
 func (c *Conn) tellIgnored(r netpoll.Reader, n int) {
 	h, ok := c.h.(Ignorer)
@@ -255,11 +272,8 @@
 		c.written += int64(n)
 		b = b[n:]
 		if err != nil {
-			// The poller will tell of the end; until then, what the peer said before
-			// may still be heard. Nobody polls a half-closed connection.
-			if c.broken, b = true, nil; c.raw {
-				fail = WriteFailed
-			}
+			b = nil
+			fail = c.failed()
 		}
 	}
 	if fail == Open && len(b) > 0 {
@@ -267,8 +281,7 @@
 		if c.pending = append(c.pending, b...); len(c.pending) > maxPending {
 			fail = PeerStalled
 		} else if !c.writing {
-			// Netpoll's Flush blocks until the peer reads, so it gets a goroutine of
-			// its own: one for a connection that is stalled, none for a request.
+			// One goroutine for a connection that is stalled, none for a request.
 			c.writing = true
 			go c.drain()
 		}
@@ -280,7 +293,22 @@
 	return end
 }
 
-// writeNow writes what the kernel takes without waiting.
+// failed notes that a write can't succeed any more. The poller will tell of the end; until
+// then, what the peer said before may still be heard. It returns how the connection ends at
+// once, or Open: nobody polls a half-closed one. The caller holds mu.
+func (c *Conn) failed() End {
+	c.broken, c.pending = true, nil
+	if c.raw {
+		return WriteFailed
+	}
+	// Guards against an error that the poller doesn't see: whoever waits on the connection
+	// would wait for ever.
+	time.AfterFunc(endWait, func() { c.Close(WriteFailed) })
+	return Open
+}
+
+// writeNow writes what the system takes without waiting. An error means that the connection
+// is of no use any more; a lack of room or memory is none. The caller holds mu.
 func (c *Conn) writeNow(b []byte) (int, error) {
 	n := 0
 	for n < len(b) {
@@ -289,7 +317,7 @@
 		case err == nil:
 			n += m
 		case errors.Is(err, unix.EINTR):
-		case errors.Is(err, unix.EAGAIN):
+		case errors.Is(err, unix.EAGAIN), errors.Is(err, unix.ENOBUFS), errors.Is(err, unix.ENOMEM):
 			return n, nil
 		default:
 			return n, err
@@ -298,65 +326,46 @@
 	return n, nil
 }
 
-// drain writes what waits for a peer that reads slowly.
+// drain writes what waits for a peer that reads slowly, or for a system without memory.
 func (c *Conn) drain() {
+	pause, progress := retryLeast, time.Now()
 	for {
-		c.mu.Lock()
-		if len(c.pending) == 0 || c.closed || c.end != Open {
-			c.writing = false
-			c.lastWords()
-			c.mu.Unlock()
-			return
+		n, more, end := c.drainOnce()
+		if end != Open {
+			c.Close(end)
 		}
-		b, raw := c.pending, c.raw
-		c.pending = nil
-		// How much of a failed flush was taken is not told: the rest may have run.
-		c.written += int64(len(b))
-		c.mu.Unlock()
-		if err := c.flush(b, raw); err != nil {
-			c.Close(PeerStalled)
-			c.mu.Lock()
-			c.writing = false
-			c.mu.Unlock()
+		if !more {
 			return
 		}
-	}
-}
-
-func (c *Conn) flush(b []byte, raw bool) error {
-	if !raw {
-		if err := c.nc.SetWriteTimeout(stallTime); err != nil {
-			return err
-		}
-		if _, err := c.nc.Writer().WriteBinary(b); err != nil {
-			return err
-		}
-		return c.nc.Writer().Flush()
-	}
-	for until := time.Now().Add(stallTime); len(b) > 0; {
-		n, err := c.writeRaw(b)
-		if err != nil {
-			return err
+		if pause = min(2*pause, retryMost); n > 0 {
+			pause, progress = retryLeast, time.Now()
 		}
-		if b = b[n:]; len(b) > 0 {
-			if time.Now().After(until) {
-				return errors.New("peer does not read")
-			}
-			time.Sleep(lingerCheck)
+		if time.Since(progress) > stallTime {
+			c.Close(PeerStalled)
 		}
+		time.Sleep(pause)
 	}
-	return nil
 }
 
-// writeRaw guards against writing to a descriptor that has been closed, and
-// whose number another connection may have by now.
-func (c *Conn) writeRaw(b []byte) (int, error) {
+// drainOnce writes what the system takes of what waits. It returns how much that was, whether
+// there is more to do, and how the connection ends, or Open.
+func (c *Conn) drainOnce() (n int, more bool, end End) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed {
-		return 0, net.ErrClosed
+	if !c.closed && c.end == Open && len(c.pending) > 0 {
+		var err error
+		n, err = c.writeNow(c.pending)
+		c.written += int64(n)
+		if c.pending = c.pending[n:]; err != nil {
+			end = c.failed()
+		}
+	}
+	if len(c.pending) > 0 && !c.closed && c.end == Open {
+		return n, true, end
 	}
-	return c.writeNow(b)
+	c.pending, c.writing = nil, false
+	c.lastWords()
+	return n, false, end
 }
 
 // Broken reports whether nothing more can be written.
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -258,7 +258,10 @@
 	}
 	c.Close(LocalStop)
 	h.ended(t, LocalStop)
-	if _, err := c.writeRaw([]byte("x")); err == nil {
+	c.mu.Lock()
+	c.pending = []byte("x")
+	c.mu.Unlock()
+	if n, _, _ := c.drainOnce(); n > 0 {
 		t.Error("written to a closed descriptor")
 	}
 	wait(t, "the drain stops", func() bool { c.mu.Lock(); defer c.mu.Unlock(); return !c.writing })
