Failing test: when a server started, whatever wall clocks say

Cause: discovery turns a server's stamp into our clock by the Unix time of our start. Measured: with our clock an hour ahead a server of 1 s is taken for 1 h old, so that it gets full load while it is cold; an hour behind, it is in slow start for an hour.

--- /dev/null
+++ b/internal/discovery/starts_test.go
@@ -0,0 +1,68 @@
+package discovery
+
+import (
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// A server counts as just started when a list first names it, whatever wall clocks say: a list may
+// be late by some seconds, of which creditMost are believed.
+const creditMost = 2 * time.Second
+
+// stamp is what a server's machine notes of a start at the module's time, with its clock ahead.
+func stamp(at, ahead time.Duration) int64 { return time.Unix(1_000_000, 0).Add(at + ahead).UnixMilli() }
+
+// TestAServersStartNeedsNoWallClock: the wall clocks of the servers' machines and ours differ, or one
+// of them is set while we run. A server that a list names for the first time has just started.
+func TestAServersStartNeedsNoWallClock(t *testing.T) {
+	tests := []struct {
+		name          string
+		before, after time.Duration // how far the servers' clock is ahead when the old one, and the new ones, start
+	}{
+		{"the same clock", 0, 0},
+		{"ours an hour ahead", -time.Hour, -time.Hour},
+		{"ours an hour behind", time.Hour, time.Hour},
+		{"ours some seconds ahead", -5 * time.Second, -5 * time.Second},
+		{"ours some seconds behind", 5 * time.Second, 5 * time.Second},
+		{"theirs set back by an hour", 0, -time.Hour},
+		{"theirs set back by some seconds", 0, -5 * time.Second},
+		{"theirs set forward by an hour", 0, time.Hour},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := &turns{now: 100 * time.Second}
+			d := New(c, nil, "", nil, time.Unix(1_000_000, 0), zerolog.Nop())
+			old := Entry{ID: "old", Phase: "active", UpSinceMS: stamp(40*time.Second, tt.before)}
+			first := Entry{ID: "first", Phase: "active", UpSinceMS: stamp(98*time.Second, tt.before)}
+			d.Take(List{Revision: 1, Complete: true, Members: []Entry{old, first}})
+			if ages := c.ages(); ages["first"] > creditMost || ages["old"] < 50*time.Second {
+				t.Errorf("at the start the servers are %v old", ages)
+			}
+			for i, id := range []string{"a", "b"} {
+				c.now += 10 * time.Second
+				started := c.now - time.Second // a second until the list has it
+				d.Take(List{Revision: int64(2 + i), Members: []Entry{{ID: id, Phase: "active", UpSinceMS: stamp(started, tt.after)}}})
+				if age := c.ages()[id]; age < 0 || age > creditMost {
+					t.Errorf("%s is taken to be %v old, it is 1s", id, age)
+				}
+			}
+			// Named again, nobody gets younger or older.
+			c.now += 3 * time.Second
+			d.Take(List{Revision: 4, Members: []Entry{old}})
+			if age := c.ages()["old"]; age < 70*time.Second {
+				t.Errorf("the old one is taken to be %v old", age)
+			}
+		})
+	}
+}
+
+// ages are how old the servers of the latest list are taken to be.
+func (c *turns) ages() map[string]time.Duration {
+	ages := map[string]time.Duration{}
+	for _, m := range c.list {
+		ages[m.ID] = c.now - m.Started
+	}
+	return ages
+}
