When a server started is known without any wall clock: at its first sight, and by ages in a list

Cause: discovery turned a server's stamp, a Unix time, into our clock by the Unix time of our start; an hour's difference between two machines made a cold server warm, or the reverse, for an hour. Ruled out: reading our wall clock anew for each list, which a step breaks the other way; a band of belief round the wall clock, which steps of some seconds pass through; the answer's Date, which the protocol does not promise. Change: starts keeps each life as it is first seen. A stamp was not in the future then, stamps of one list give ages relative to the newest, and what appears on a later list counts as 2 s old at most. Where that leaves a doubt a server counts as younger.

--- a/cmd/kiteloft/main.go
+++ b/cmd/kiteloft/main.go
@@ -188,7 +188,7 @@
 	net := transport.NewNet(core, transport.Limits{Conns: cfg.Sockets - ownFiles, Backlog: cfg.MemoryMB << 20 / backlogShare}, ended)
 	links := node.New(core, net, node.Limits{ConnectTimeout: set.ConnectTimeout, ConnIdle: set.ConnIdle,
 		StreamsPerConn: set.StreamsPerConn}, map[string]node.Protocol{"": node.Frames, nodeflight.Scheme: nodeflight.Protocol}, log)
-	dir := discovery.New(core, net.Direct(), cfg.Discovery, set.Zones, started.Add(-clockStart), log)
+	dir := discovery.New(core, net.Direct(), cfg.Discovery, set.Zones, log)
 	dir.Mixers, dir.Pushed = set.Module.Aggregators, !set.Module.AskDiscovery
 	core.Use(links, dir)
 	count := &counter{core: core, log: log}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -83,13 +83,13 @@
 
 // Client asks discovery. It implements broker.Directory.
 type Client struct {
-	core     Core
-	net      transport.Dialer
-	addr     string
-	zones    map[string]int
-	unixZero time.Time // the Unix time at which the module's clock stood at 0
-	log      zerolog.Logger
-	Counts   *counts.Set // nil: nothing is counted
+	core   Core
+	net    transport.Dialer
+	addr   string
+	zones  map[string]int
+	starts starts
+	log    zerolog.Logger
+	Counts *counts.Set // nil: nothing is counted
 	// Sieve is handed each list of our own watch and returns the one that is believed; nil:
 	// the list is.
 	Sieve func(List) List
@@ -122,10 +122,9 @@
 	came    time.Duration // when the first byte of the answer came; 0: none has
 }
 
-// New returns a Client. ZeroAt is the Unix time at which the module's clock
-// stands at 0.
-func New(core Core, net transport.Dialer, addr string, zones []string, zeroAt time.Time, log zerolog.Logger) *Client {
-	c := &Client{core: core, net: net, addr: addr, zones: map[string]int{}, unixZero: zeroAt, log: log}
+// New returns a Client.
+func New(core Core, net transport.Dialer, addr string, zones []string, log zerolog.Logger) *Client {
+	c := &Client{core: core, net: net, addr: addr, zones: map[string]int{}, log: log}
 	for i, z := range zones {
 		c.zones[z] = i
 	}
@@ -155,13 +154,11 @@
 
 // Hear hands on a list that is not of our own watch.
 func (c *Client) Hear(l List) {
+	c.starts.take(c.core.Now(), l)
 	members := make([]broker.Member, 0, len(l.Members))
 	for _, e := range l.Members {
 		m := broker.Member{Addr: e.HostPort, Server: decide.Server{ID: e.ID, Zone: c.zone(e.Locality), Cell: e.Cell,
-			State: states[e.Phase], Hint: e.Size}, Told: e.Told}
-		if e.UpSinceMS > 0 {
-			m.Started = time.UnixMilli(e.UpSinceMS).Sub(c.unixZero)
-		}
+			State: states[e.Phase], Hint: e.Size, Started: c.starts.at(e)}, Told: e.Told}
 		members = append(members, m)
 	}
 	c.core.Listed(broker.List{Full: l.Complete, Version: l.Revision, Told: l.Told, Members: members})
