Failing tests: a close over bytes that the poller holds, dials that fail for want of our own

Cause: Quiet sees what netpoll shows and what the kernel holds, not what is between the two. Dials that fail for our own lack of addresses, routes, memory or descriptors count as the server's refusal.

--- a/internal/transport/faults_test.go
+++ b/internal/transport/faults_test.go
@@ -2,12 +2,17 @@
 
 import (
 	"io"
+	"net"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/cloudwego/netpoll"
 	"golang.org/x/sys/unix"
+
+	"kiteloft/decide"
 )
 
 // Tests with system calls that fail as their pages say they may.
@@ -59,3 +64,114 @@
 		t.Errorf("%d bytes came, want %d; %v", len(got), len(words), err)
 	}
 }
+
+// TestBytesThatThePollerHoldsAreNotQuiet: the poller has read from the socket, and nobody has seen
+// that yet. Whoever closes the connection now leaves a request that was read without an answer.
+func TestBytesThatThePollerHoldsAreNotQuiet(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	peer, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = peer.Close() }()
+	ours, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ours.Close() }()
+	file, err := ours.(*net.TCPConn).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = file.Close() }()
+	c := &Conn{nc: unpolled{}, fd: int(file.Fd()), net: NewNet(newOwner(t), Limits{Conns: 10}, nil)}
+	if !c.Quiet() {
+		t.Error("nothing has come, and it is not quiet")
+	}
+	const request = "a request"
+	if _, err := io.WriteString(peer, request); err != nil {
+		t.Fatal(err)
+	}
+	wait(t, "the bytes are there", func() bool { return !c.Quiet() })
+	if n, err := unix.Read(c.fd, make([]byte, 100)); n != len(request) || err != nil {
+		t.Fatal(n, err)
+	}
+	if c.Quiet() {
+		t.Error("it is quiet while the poller holds a request")
+	}
+	c.in.Add(int64(len(request))) // the owner has it
+	if !c.Quiet() {
+		t.Error("it is not quiet though all has been looked at")
+	}
+}
+
+// unpolled is a connection of which the poller has shown nothing yet.
+type unpolled struct{ netpoll.Connection }
+
+func (unpolled) Reader() netpoll.Reader { return nothingRead{} }
+
+type nothingRead struct{ netpoll.Reader }
+
+func (nothingRead) Len() int { return 0 }
+
+// TestPeersThatLeaveAtOnce: a server's machine takes connections and resets or closes them before we
+// have looked at them. Each dial ends once: in failure, or with a connection that ends.
+func TestPeersThatLeaveAtOnce(t *testing.T) {
+	const dials = 1000
+	for _, linger := range []int{-1, 0} { // leaving in order, and by a reset
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = ln.Close() })
+		go func() {
+			for {
+				c, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				_ = c.(*net.TCPConn).SetLinger(linger)
+				_ = c.Close()
+			}
+		}()
+		n := NewNet(newOwner(t), Limits{Conns: 100, Backlog: 1 << 20}, nil)
+		var ended atomic.Int64
+		for range dials {
+			h := &counted{ends: &ended}
+			n.Dial(ln.Addr().String(), time.Second, h, func(c *Conn, _ End) {
+				if c == nil {
+					ended.Add(1)
+				}
+			})
+			wait(t, "there is room", func() bool { return n.open.Load() < 20 })
+		}
+		wait(t, "all have ended", func() bool { return ended.Load() == dials && n.open.Load() == 0 })
+	}
+}
+
+// counted counts its ends.
+type counted struct{ ends *atomic.Int64 }
+
+func (counted) Data([]byte)  {}
+func (counted) HalfClosed()  {}
+func (c *counted) Ended(End) { c.ends.Add(1) }
+
+// TestDialsThatFailForWantOfOurOwn say nothing of the server.
+func TestDialsThatFailForWantOfOurOwn(t *testing.T) {
+	for _, err := range []unix.Errno{unix.EADDRNOTAVAIL, unix.ENETUNREACH, unix.ENOBUFS, unix.ENOMEM, unix.EAGAIN, unix.EMFILE, unix.ENFILE} {
+		wrapped := &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", err)}
+		if got := Outcome(dialEnd(wrapped), false); got != decide.Moot {
+			t.Errorf("%v: outcome %v, want that it was never sent", err, got)
+		}
+	}
+	for _, err := range []unix.Errno{unix.ECONNREFUSED, unix.EHOSTUNREACH, unix.ECONNRESET, unix.ETIMEDOUT} {
+		wrapped := &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", err)}
+		if got := Outcome(dialEnd(wrapped), false); got != decide.ConnectFailed {
+			t.Errorf("%v: outcome %v, want that the server could not be connected to", err, got)
+		}
+	}
+}
