Count what the system has received before a close, and blame no server for our own lack

Cause: between the poller's read and its showing the bytes, Quiet saw neither; a connection that was ended just then had a request that was read and never answered. A dial that failed for our own lack ended as the server's refusal: health of sound servers fell. Change: Quiet compares the bytes that the system has received with those handed on (TCP_INFO); dials that fail locally, find no descriptor or no room in the queue end as never sent, a value of their own in the one type of endings.

--- a/decide/health.go
+++ b/decide/health.go
@@ -132,7 +132,7 @@
 		if e.Outcome == OK {
 			s.fault, s.trials = 0, 0 // a probe is served as parts are
 		}
-	} else {
+	} else if e.Outcome != Moot {
 		s.trials++
 	}
 	s.probing, s.probeAt = false, m.now+m.restPause(s)
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -401,8 +401,13 @@
 	if c.closed {
 		return true
 	}
-	n, err := unix.IoctlGetInt(c.fd, unix.TIOCINQ)
-	return err != nil || n == 0
+	if n, err := unix.IoctlGetInt(c.fd, unix.TIOCINQ); err == nil && n > 0 {
+		return false
+	}
+	// Guards against the moment in which the poller has read bytes and not shown them: the
+	// system has counted them.
+	info, err := unix.GetsockoptTCPInfo(c.fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+	return err != nil || int64(info.Bytes_received) <= c.in.Load()
 }
 
 // Finish says that nothing more will be written and nothing more is heard. What
--- a/internal/transport/end.go
+++ b/internal/transport/end.go
@@ -16,6 +16,7 @@
 	NeverUp                 // it did not come up within the time to connect
 	NoDescriptor            // we had no descriptor left for it
 	NotDialed               // the queue of waiting dials was full, or the address is no address
+	LocalLack               // our own machine lacked an address, a route or memory for it
 	PeerClosed              // the peer ended it in order
 	PeerReset               // the peer's machine reset it
 	WriteFailed             // a write to it failed
@@ -27,7 +28,7 @@
 	LocalStop               // we closed it because the program ends
 )
 
-var endNames = [...]string{"open", "refused", "never-up", "no-descriptor", "not-dialed", "peer-closed", "peer-reset",
+var endNames = [...]string{"open", "refused", "never-up", "no-descriptor", "not-dialed", "local-lack", "peer-closed", "peer-reset",
 	"write-failed", "peer-stalled", "peer-flooded", "bad-input", "local-idle", "local-done", "local-stop"}
 
 // String returns the name that logs and flow records use.
@@ -43,7 +44,9 @@
 // written; if it had not, the attempt never ran, however the connection ended.
 func Outcome(e End, written bool) decide.Outcome {
 	switch {
-	case !written, e == Refused, e == NeverUp, e == NoDescriptor, e == NotDialed:
+	case e == NoDescriptor, e == NotDialed, e == LocalLack:
+		return decide.Moot // it says nothing of the node
+	case !written, e == Refused, e == NeverUp:
 		return decide.ConnectFailed
 	case e == BadInput, e == PeerFlooded:
 		// The node spoilt its answer: it may have run, and the network is not to blame.
--- a/internal/transport/net.go
+++ b/internal/transport/net.go
@@ -241,6 +241,9 @@
 	switch {
 	case errors.Is(err, unix.EMFILE), errors.Is(err, unix.ENFILE):
 		return NoDescriptor
+	case errors.Is(err, unix.EADDRNOTAVAIL), errors.Is(err, unix.ENETUNREACH), errors.Is(err, unix.ENOBUFS),
+		errors.Is(err, unix.ENOMEM), errors.Is(err, unix.EAGAIN):
+		return LocalLack
 	case errors.As(err, &timeout) && timeout.Timeout(), errors.Is(err, context.DeadlineExceeded):
 		return NeverUp
 	}
