System calls that fail for a moment, by a filter of the process's own; connects try again

With connects or sockets failing for 250 ms, a part used up its four attempts within that time and its query was refused (seen: 503 on kept and on fresh connections alike). Ruled out by the same tests: accept with ECONNABORTED, EMFILE, ENFILE, ENOBUFS, ENOMEM, EINTR in any order, sends without memory, waits that are interrupted: all are served. Spacing the module's retries instead was tried and dropped: a property test then saw 27 parts where a cold server's budget is 26.3. Change: standin/callfaults (seccomp's user notification: the program that ships is tested unchanged, without special rights); a connect that fails for want of our own is tried again within its time.

--- a/cmd/kiteloft/bed_test.go
+++ b/cmd/kiteloft/bed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -14,6 +15,7 @@
 	"time"
 
 	"kiteloft/internal/standin"
+	"kiteloft/internal/standin/callfaults"
 )
 
 // The bed starts the real program with stand-ins round it, over either protocol.
@@ -21,6 +23,7 @@
 var program string
 
 func TestMain(m *testing.M) {
+	callfaults.Launch(os.Args[1:])
 	dir, err := os.MkdirTemp("", "kiteloft")
 	if err != nil {
 		panic(err)
@@ -138,6 +141,8 @@
 	collector string                     // of flows; "": they are not exported
 	extra     string                     // more of deploy/broker.toml
 	sockets   int                        // 0: 1024
+	launcher  bool                       // the mixer's system calls may fail
+	faults    *callfaults.Process
 }
 
 // start runs a mixer over two stock nodes that hold every shard.
@@ -206,10 +211,22 @@
 		b.sick(b.Directory)
 	}
 	b.discovery = b.Serve()
+	dir, path, args := t.TempDir(), program, []string(nil)
+	attached := make(chan error, 1)
+	if b.launcher {
+		path, args = os.Args[0], []string{callfaults.LaunchArgument, program}
+		go func() {
+			var err error
+			b.faults, err = callfaults.Attach(dir)
+			attached <- err
+		}()
+	} else {
+		attached <- nil
+	}
 	var err error
-	b.Mixer, err = standin.Start(standin.Setup{Program: program, Dir: t.TempDir(), Settings: settings, Discovery: b.discovery, Known: b.members,
+	b.Mixer, err = standin.Start(standin.Setup{Program: path, Args: args, Dir: dir, Settings: settings, Discovery: b.discovery, Known: b.members,
 		Sockets: b.sockets, Broker: "[flight]\nlisten = \"127.0.0.1:0\"\n[ipfix]\ncollector = \"" + b.collector + "\"\n" + b.extra})
-	if err != nil {
+	if err := errors.Join(err, <-attached); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { b.stop(t) })
@@ -248,6 +265,13 @@
 	}
 }
 
+// CloseLinks ends the servers' connections, so that the mixer has to open others.
+func (b *bed) CloseLinks() {
+	for _, n := range b.nodes {
+		n.CloseLinks()
+	}
+}
+
 // configure writes the mixer's configuration anew.
 func (b *bed) configure(t *testing.T, discovery string) {
 	t.Helper()
--- a/internal/standin/frames.go
+++ b/internal/standin/frames.go
@@ -38,6 +38,9 @@
 				return
 			}
 			n.onClose(func() { _ = c.Close() })
+			n.mu.Lock()
+			n.links = append(n.links, c)
+			n.mu.Unlock()
 			link := n.noted(&n.Came)
 			go func() {
 				n.serveFrames(c, link)
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"slices"
 	"strings"
@@ -68,6 +69,7 @@
 	Came  []time.Time // connections; to be read by the node's own reply, or at rest
 	Went  []time.Time // and when they ended
 	close []func()
+	links []io.Closer
 }
 
 // NewNode returns a node that does as told with each part. Do is called by one
@@ -143,6 +145,17 @@
 	n.close = append(n.close, fn)
 }
 
+// CloseLinks ends the connections that the node has; it goes on listening.
+func (n *Node) CloseLinks() {
+	n.mu.Lock()
+	list := n.links
+	n.links = nil
+	n.mu.Unlock()
+	for _, c := range list {
+		_ = c.Close() // it may have ended
+	}
+}
+
 // Close ends the node as a crash does: it listens no more and its connections break.
 func (n *Node) Close() {
 	n.mu.Lock()
--- a/internal/transport/net.go
+++ b/internal/transport/net.go
@@ -23,7 +23,8 @@
 	maxDials      = 256 // dials that wait for one of them
 	directDialers = 2   // the same for a Direct dialer: a watch, and one call beside it
 	directDials   = 4
-	reserve       = 8 // one in so many connections is kept for those that we open
+	lackPause     = 10 * time.Millisecond // before a connect that failed for want of our own is tried again
+	reserve       = 8                     // one in so many connections is kept for those that we open
 	// readAtOnce bounds the kernel's buffer of what a peer has sent, and with it what
 	// netpoll makes room for at a time: up to 8 MB for a peer at full speed otherwise.
 	readAtOnce = 64 << 10
@@ -221,7 +222,7 @@
 
 func (n *Net) dialLoop(waiting <-chan dial) {
 	for d := range waiting {
-		nc, err := netpoll.DialConnection("tcp", d.addr, d.timeout)
+		nc, err := d.connect()
 		if err != nil {
 			n.open.Add(-1)
 			e := dialEnd(err)
@@ -236,6 +237,21 @@
 	}
 }
 
+// connect opens the connection. What fails for want of our own is tried again until the time to
+// connect is over: such a lack passes in a moment, and says nothing of the peer.
+func (d dial) connect() (nc netpoll.Connection, err error) {
+	for begun := time.Now(); ; time.Sleep(lackPause) {
+		left := d.timeout
+		if d.timeout > 0 {
+			left = max(time.Millisecond, d.timeout-time.Since(begun))
+		}
+		nc, err = netpoll.DialConnection("tcp", d.addr, left)
+		if err == nil || dialEnd(err) != LocalLack && dialEnd(err) != NoDescriptor || time.Since(begun)+lackPause >= d.timeout {
+			return nc, err
+		}
+	}
+}
+
 func dialEnd(err error) End {
 	var timeout interface{ Timeout() bool }
 	switch {
