--- a/cmd/kiteloft/calls_test.go
+++ b/cmd/kiteloft/calls_test.go
@@ -68,3 +68,45 @@
 		})
 	}
 }
+
+// TestTheTimeOfARequestThatWaitsToBeAccepted began when its client had sent it: the system knows
+// since when its bytes are there.
+func TestTheTimeOfARequestThatWaitsToBeAccepted(t *testing.T) {
+	t.Parallel()
+	const deadline, wait = 2 * time.Second, 500 * time.Millisecond
+	b, p := startWithFaults(t, sound)
+	p.Fail(callfaults.Accept, wait, unix.ENOMEM)
+	c := dial(t, b)
+	sent := time.Now()
+	_, _ = io.WriteString(c, withDeadline("late", deadline))
+	_ = responses(t, c, 1)
+	for _, part := range b.parts() {
+		if left := deadline - part.At.Sub(sent); part.Wait > left+150*time.Millisecond {
+			t.Errorf("%s was told that %v are left, its client has %v", part.ID, part.Wait, left)
+		}
+	}
+	if len(b.parts()) == 0 {
+		t.Error("no part came")
+	}
+}
+
+// TestNothingBeginsForAClientThatLeftBeforeItWasAccepted, however it left.
+func TestNothingBeginsForAClientThatLeftBeforeItWasAccepted(t *testing.T) {
+	t.Parallel()
+	const wait, tries = 300 * time.Millisecond, 5
+	b, p := startWithFaults(t, sound)
+	for i := range tries {
+		p.Fail(callfaults.Accept, wait, unix.ENOMEM)
+		c := dial(t, b)
+		_, _ = io.WriteString(c, request(fmt.Sprintf("gone%d", i), lookup, ""))
+		_ = c.CloseWrite()
+		stays := dial(t, b)
+		_, _ = io.WriteString(stays, request(fmt.Sprintf("stays%d", i), lookup, ""))
+		_ = responses(t, stays, 1)
+	}
+	for id := range begun(b.parts()) {
+		if id[:4] == "gone" {
+			t.Errorf("parts of %s were sent", id)
+		}
+	}
+}
--- /dev/null
+++ b/cmd/soak/main.go
@@ -0,0 +1,187 @@
+// Command soak plays seeds of the fault soak and says which rules were broken.
+package main
+
+import (
+	"fmt"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"kiteloft/internal/soak"
+	"kiteloft/internal/standin/callfaults"
+)
+
+type flags struct {
+	Program  string        `arg:"" help:"The mixer to play." type:"existingfile"`
+	Seed     uint64        `help:"The first seed." default:"1"`
+	Seeds    int           `help:"How many seeds." default:"1"`
+	Parallel int           `help:"How many at a time." default:"1"`
+	Mixers   int           `help:"Processes of the mixer, for each seed." default:"10"`
+	Servers  int           `help:"Stand-in servers, a multiple of 8." default:"16"`
+	Rate     float64       `help:"Requests a second of each of a mixer's two crowds of clients." default:"6"`
+	Length   time.Duration `help:"Length of a run." default:"30s"`
+	Only     []int         `help:"Only these troubles of the schedule, by their numbers."`
+	Shrink   bool          `help:"Play a seed that breaks a rule again with fewer troubles, until none can be left out."`
+}
+
+func main() {
+	callfaults.Launch(os.Args[1:])
+	var f flags
+	kong.Parse(&f, kong.Name("soak"), kong.Description("The fault soak: real mixers among stand-ins that misbehave by a seed."))
+	os.Exit(f.run())
+}
+
+// total adds up runs.
+type total struct {
+	mu       sync.Mutex
+	seeds    int
+	requests int
+	failed   []uint64
+	outcomes map[string]int
+	faults   map[soak.Kind]int
+	pairs    map[[2]soak.Kind]int
+	rules    map[string]int
+}
+
+func (f flags) run() int {
+	program, err := filepath.Abs(f.Program)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 2
+	}
+	f.Program = program
+	sum := total{outcomes: map[string]int{}, faults: map[soak.Kind]int{}, pairs: map[[2]soak.Kind]int{}, rules: map[string]int{}}
+	seeds := make(chan uint64)
+	var all sync.WaitGroup
+	for range f.Parallel {
+		all.Go(func() {
+			for seed := range seeds {
+				f.seed(seed, &sum)
+			}
+		})
+	}
+	for i := range f.Seeds {
+		seeds <- f.Seed + uint64(i)
+	}
+	close(seeds)
+	all.Wait()
+	sum.print()
+	if len(sum.failed) > 0 {
+		return 1
+	}
+	return 0
+}
+
+// play plays a seed with some of its troubles.
+func (f flags) play(seed uint64, troubles []soak.Trouble) (soak.Report, error) {
+	dir, err := os.MkdirTemp("", "soak")
+	if err != nil {
+		return soak.Report{}, err
+	}
+	return soak.Run(soak.Options{Program: f.Program, Dir: dir, Seed: seed, Mixers: f.Mixers, Servers: f.Servers, Rate: f.Rate,
+		Length: f.Length, Troubles: troubles})
+}
+
+func (f flags) seed(seed uint64, sum *total) {
+	troubles := soak.Draw(seed, f.Length)
+	if len(f.Only) > 0 {
+		var kept []soak.Trouble
+		for _, i := range f.Only {
+			kept = append(kept, troubles[i])
+		}
+		troubles = kept
+	}
+	r, err := f.play(seed, troubles)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		r.Breaks = append(r.Breaks, soak.Break{Rule: "soak", Text: err.Error()})
+	}
+	sum.add(seed, r)
+	if len(r.Breaks) == 0 {
+		return
+	}
+	explain(seed, troubles, r)
+	if f.Shrink {
+		f.shrink(seed, troubles, r.Breaks[0].Rule)
+	}
+}
+
+// explain prints what broke, with its request's timeline.
+func explain(seed uint64, troubles []soak.Trouble, r soak.Report) {
+	text := fmt.Sprintf("seed %d: %d breaks\n", seed, len(r.Breaks))
+	for i, t := range troubles {
+		text += fmt.Sprintf("  trouble %d: %v\n", i, t)
+	}
+	seen := map[string]bool{}
+	for _, b := range r.Breaks {
+		text += fmt.Sprintf("  %8.3fs %s %s: %s\n", b.At.Seconds(), b.Rule, b.Request, b.Text)
+		if !seen[b.Rule] {
+			seen[b.Rule] = true
+			text += "  timeline of the first of its kind:\n" + r.Timeline(b.Request)
+		}
+	}
+	fmt.Print(text)
+}
+
+// shrink leaves out troubles one at a time, for as long as the rule still breaks.
+func (f flags) shrink(seed uint64, troubles []soak.Trouble, rule string) {
+	for i := 0; i < len(troubles); {
+		fewer := slices.Delete(slices.Clone(troubles), i, i+1)
+		r, err := f.play(seed, fewer)
+		if err == nil && slices.ContainsFunc(r.Breaks, func(b soak.Break) bool { return b.Rule == rule }) {
+			troubles = fewer
+		} else {
+			i++
+		}
+	}
+	fmt.Printf("seed %d breaks %s with:\n", seed, rule)
+	for _, t := range troubles {
+		fmt.Printf("  %v\n", t)
+	}
+}
+
+func (s *total) add(seed uint64, r soak.Report) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.seeds++
+	s.requests += r.Requests
+	for k, n := range r.Outcomes {
+		s.outcomes[k] += n
+	}
+	for k, n := range r.Faults {
+		s.faults[k] += n
+	}
+	for k, n := range r.Pairs {
+		s.pairs[k] += n
+	}
+	for _, b := range r.Breaks {
+		s.rules[b.Rule]++
+	}
+	if len(r.Breaks) > 0 {
+		s.failed = append(s.failed, seed)
+	}
+	fmt.Printf("seed %d: %d requests, %d breaks\n", seed, r.Requests, len(r.Breaks))
+}
+
+func (s *total) print() {
+	fmt.Printf("%d seeds, %d requests, %d pairs of kinds that overlapped (%d times)\n", s.seeds, s.requests, len(s.pairs), count(s.pairs))
+	fmt.Println("outcomes:", s.outcomes)
+	fmt.Print("troubles:")
+	for _, k := range slices.Sorted(maps.Keys(s.faults)) {
+		fmt.Printf(" %v %d,", k, s.faults[k])
+	}
+	fmt.Println()
+	fmt.Println("broken rules:", s.rules, "in seeds", s.failed)
+}
+
+func count[K comparable](m map[K]int) (n int) {
+	for _, c := range m {
+		n += c
+	}
+	return n
+}
--- /dev/null
+++ b/internal/soak/journal.go
@@ -0,0 +1,73 @@
+package soak
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Entry is something that was seen.
+type Entry struct {
+	At      time.Duration // from the start
+	Request string        // its id; "": it concerns no single one
+	Text    string
+}
+
+// journal keeps what was seen, and what of it broke a rule. It may be used by all goroutines.
+type journal struct {
+	begun time.Time
+
+	mu       sync.Mutex
+	list     []Entry
+	breaks   []Break
+	outcomes map[string]int
+}
+
+// Break is a broken rule.
+type Break struct {
+	Rule, Request, Text string
+	At                  time.Duration
+}
+
+func newJournal() *journal { return &journal{begun: time.Now(), outcomes: map[string]int{}} }
+
+func (j *journal) now() time.Duration { return time.Since(j.begun) }
+
+func (j *journal) note(request, format string, args ...any) {
+	text, at := fmt.Sprintf(format, args...), j.now()
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.list = append(j.list, Entry{at, request, text})
+}
+
+// broken notes a broken rule.
+func (j *journal) broken(rule, request, format string, args ...any) {
+	text, at := fmt.Sprintf(format, args...), j.now()
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.list = append(j.list, Entry{at, request, "BROKEN " + rule + ": " + text})
+	j.breaks = append(j.breaks, Break{rule, request, text, at})
+}
+
+func (j *journal) ended(outcome string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.outcomes[outcome]++
+}
+
+// timeline is what was seen of a request, and what concerned no single one.
+func (j *journal) timeline(request string) string {
+	j.mu.Lock()
+	list := slices.Clone(j.list)
+	j.mu.Unlock()
+	slices.SortStableFunc(list, func(a, b Entry) int { return int(a.At - b.At) })
+	var b strings.Builder
+	for _, e := range list {
+		if e.Request == "" || e.Request == request {
+			fmt.Fprintf(&b, "  %8.3fs %-18s %s\n", e.At.Seconds(), e.Request, e.Text)
+		}
+	}
+	return b.String()
+}
--- a/internal/standin/directory.go
+++ b/internal/standin/directory.go
@@ -32,17 +32,24 @@
 	members  []Member
 	changed  map[string]int // revision of each member's latest change
 	news     chan struct{}
-	holds    bool           // calls that come are never answered
-	muted    time.Time      // calls that came before it are never answered
-	calls    map[string]int // by the address called
-	told     map[string]int // the latest revision that went out, by the address called
+	holds    bool                 // calls that come are never answered
+	muted    time.Time            // calls that came before it are never answered
+	calls    map[string]int       // by the address called
+	told     map[string]int       // the latest revision that went out, by the address called
+	tellings map[string][]telling // all that went out, by the address called
 	servers  []*httptest.Server
 }
 
+// telling is that a revision went out.
+type telling struct {
+	revision int
+	at       time.Time
+}
+
 // NewDirectory returns a Directory that lists the members.
 func NewDirectory(members ...Member) *Directory {
 	return &Directory{revision: 1, members: slices.Clone(members), changed: map[string]int{}, news: make(chan struct{}), calls: map[string]int{},
-		told: map[string]int{}}
+		told: map[string]int{}, tellings: map[string][]telling{}}
 }
 
 // Serve listens at one more address and returns it.
@@ -107,6 +114,7 @@
 				}
 			}
 			d.told[r.Host] = d.revision
+			d.tellings[r.Host] = append(d.tellings[r.Host], telling{d.revision, time.Now()})
 			out, err := json.Marshal(map[string]any{"revision": d.revision, "complete": from == 0, "members": list})
 			d.mu.Unlock()
 			if err == nil {
@@ -125,6 +133,25 @@
 	}
 }
 
+// Revision is that of the list as it is now.
+func (d *Directory) Revision() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.revision
+}
+
+// ToldAt is when a revision, or a later one, first went out from an address after a moment.
+func (d *Directory) ToldAt(addr string, revision int, since time.Time) (time.Time, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, t := range d.tellings[addr] {
+		if t.revision >= revision && !t.at.Before(since) {
+			return t.at, true
+		}
+	}
+	return time.Time{}, false
+}
+
 // Tell changes a member's phase on the list.
 func (d *Directory) Tell(i int, phase string) {
 	d.mu.Lock()
