A request's time began when its bytes came, and a FIN that is there ends it at once

Change: with each read of an accepted connection TCP_INFO says how long ago the bytes came and whether the peer has ended its side; the latter is told with the bytes. Soak: what a server reads just after it was deaf has no time, a server that returns under its name drains no more.

--- a/cmd/kiteloft/main.go
+++ b/cmd/kiteloft/main.go
@@ -20,6 +20,7 @@
 	"kiteloft/internal/broker"
 	"kiteloft/internal/config"
 	"kiteloft/internal/discovery"
+	"kiteloft/internal/front"
 	"kiteloft/internal/front/flight"
 	"kiteloft/internal/front/platform"
 	"kiteloft/internal/ipfix"
@@ -101,7 +102,9 @@
 		return 2
 	}
 	log = log.With().Str("mixer", cfg.Name).Logger()
-	transport.LogTo(log.With().Str("from", "netpoll").Logger())
+	// The poller says something of each accept that fails, thousands of times a second: our own
+	// lines would be dropped for it.
+	transport.LogTo(front.Sampled(log.With().Str("from", "netpoll").Logger()))
 	if err := serve(cfg, getenv, sig, log); err != nil {
 		log.Error().Err(err).Msg("mixer failed")
 		return 1
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -375,6 +375,9 @@
 	c.conn.Close(transport.PeerClosed)
 }
 
+// Left implements transport.Leaver.
+func (c *client) Left() { c.HalfClosed() }
+
 // Ended implements transport.Handler.
 func (c *client) Ended(e transport.End) {
 	delete(c.f.clients, c)
--- a/internal/soak/list.go
+++ b/internal/soak/list.go
@@ -73,6 +73,14 @@
 	}
 }
 
+// returns tells that a server is back under its name.
+func (l *list) returns(m standin.Member) {
+	l.mu.Lock()
+	delete(l.changes, m.ID)
+	l.mu.Unlock()
+	l.Replace(m.ID, m)
+}
+
 // down notes that discovery can't be reached for a while.
 func (l *list) down(length time.Duration) {
 	l.mu.Lock()
--- a/internal/soak/play.go
+++ b/internal/soak/play.go
@@ -232,7 +232,7 @@
 	p.note("", "server %s starts", name)
 	member := s.member(p.list.stamp())
 	if again {
-		p.list.Replace(name, member)
+		p.list.returns(member)
 	} else {
 		p.list.Join(member)
 	}
--- a/internal/soak/server.go
+++ b/internal/soak/server.go
@@ -17,6 +17,7 @@
 	workLeast = 3 * time.Millisecond // of a part
 	workMore  = 25 * time.Millisecond
 	frameMost = 1 << 20
+	deafAfter = 300 * time.Millisecond // after it did not read, what it reads may have been sent before
 	idleClose = 300 * time.Millisecond // after which a server in that trouble closes a connection
 )
 
@@ -201,7 +202,7 @@
 
 // part does the work of one part.
 func (s *server) part(c net.Conn, send func([]byte), words []string, text string, came time.Time) {
-	a := &arrival{server: s, id: words[0], text: text, at: came, late: time.Now().After(came.Add(50 * time.Millisecond))}
+	a := &arrival{server: s, id: words[0], text: text, at: came, late: time.Since(s.deafUntil()) < deafAfter}
 	a.shard, _ = strconv.Atoi(words[1])
 	for item := range strings.SplitSeq(words[2], ",") {
 		if ms, ok := strings.CutPrefix(item, "d="); ok {
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -20,6 +20,7 @@
 	stallTime    = 2 * time.Second        // how long a peer may take for what waits for it
 	retryLeast   = time.Millisecond       // after a write that the system did not take, doubled up to
 	retryMost    = 20 * time.Millisecond  // this while it takes nothing
+	mostUnread   = 30 * time.Second       // longer than anything waits unread
 	endWait      = 200 * time.Millisecond // by when the poller tells of the end of a connection on which a write failed
 )
 
@@ -33,6 +34,10 @@
 	Ended(e End)
 }
 
+// Leaver is a Handler for which a peer that sends nothing more has gone. It is told together with
+// the last bytes that came, so that nothing begins for them meanwhile.
+type Leaver interface{ Left() }
+
 // Truncated is a Handler that wants to know when bytes of the peer's were dropped, because it
 // sent more than is held for one connection: nothing more comes after what came before.
 type Truncated interface{ Truncated() }
@@ -114,7 +119,8 @@
 	if n == 0 {
 		return
 	}
-	read := time.Now()
+	unread, left := c.arrival()
+	read := time.Now().Add(-unread)
 	c.in.Add(int64(n))
 	c.reads.Add(1)
 	take := 0
@@ -154,14 +160,38 @@
 		} else if h, ok := c.h.(Ignorer); ok {
 			h.Ignored(b[:min(len(b), mostIgnored)])
 		}
+		if h, ok := c.h.(Leaver); ok && left && !c.muted.Load() {
+			h.Left()
+		}
 		if h, ok := c.h.(Truncated); ok && cut && !c.muted.Load() {
 			h.Truncated()
 		}
 	})
 }
 
-// Waited is how long the bytes of the present Data have waited for the owner since they were
-// read.
+// arrival is how long the bytes that are read now have lain with the system, on connections that
+// we accepted (they may have come long before we did so), and whether the peer has ended its side
+// since. Zero where the system does not tell.
+func (c *Conn) arrival() (unread time.Duration, left bool) {
+	if c.dialed {
+		return 0, false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || c.end != Open {
+		return 0, false
+	}
+	info, err := unix.GetsockoptTCPInfo(c.fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+	if err != nil {
+		return 0, false
+	}
+	if info.Bytes_received > 0 { // a system that counts knows the rest as well
+		unread = min(time.Duration(info.Last_data_recv)*time.Millisecond, mostUnread)
+	}
+	return unread, info.State == closeWait
+}
+
+// Waited is how long the bytes of the present Data have waited for the owner since they came.
 func (c *Conn) Waited() time.Duration { return c.waited }
 
 // tellIgnored hands what is passed over, at first, to a handler that wants to know.
@@ -236,10 +266,11 @@
 	c.tell()
 }
 
+const closeWait = 8 // TCP_CLOSE_WAIT: the peer has ended its side
+
 // finSeen tells an orderly end from a reset.
 func finSeen(fd int) bool {
 	info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
-	const closeWait = 8 // TCP_CLOSE_WAIT
 	return err == nil && info.State == closeWait
 }
 
