Work out what servers bear ten times a second, not for every candidate

Cause: the budget of a cold server was worked out from a scan of all servers for each candidate of each part in each step (bears, in coldRoom). Change: one look per 100 ms, and anew with each list; it is a mean over 10 s.

--- a/decide/list.go
+++ b/decide/list.go
@@ -8,6 +8,7 @@
 
 func (m *Module) takeList(e ListChange) {
 	m.asks, m.askAt = 0, -1
+	m.borne.known = false // who is warm may have changed
 	if m.set.AskDiscovery && !m.subscribed {
 		m.askAt = m.now + m.firstPause() // the first list comes unasked; the subscription is still to be made
 	}
--- a/decide/state.go
+++ b/decide/state.go
@@ -50,7 +50,8 @@
 	idleLearned         time.Duration
 	lostIdle, lostFresh float64    // shares of attempts lost on connections that had been idle, and on others
 	out                 []*attempt // in the order of their sends
-	bore                recent     // what a warm server bore from us
+	borne               borne
+	bore                recent // what a warm server bore from us
 	boreAt              time.Duration
 	askAt               time.Duration
 	asks                int
@@ -484,6 +485,25 @@
 // servers that is sent next to nothing, until the last of them is warm, for want of a
 // warm one to judge by.
 func (m *Module) bears() float64 {
+	// Looked at for each candidate, and over all servers: it changes slowly.
+	if !m.borne.known || m.now >= m.borne.at+bearsPace {
+		m.borne = borne{m.surveyLoad(), m.now, true}
+	}
+	return m.borne.rate
+}
+
+// bearsPace is how often what servers bear is worked out anew; it is a mean over rateSpan.
+const bearsPace = 100 * time.Millisecond
+
+// borne is what servers were found to bear, and when that was.
+type borne struct {
+	rate  float64
+	at    time.Duration
+	known bool
+}
+
+// surveyLoad works out what bears returns.
+func (m *Module) surveyLoad() float64 {
 	busiest, sum, n, cold := 0.0, 0.0, 0.0, 0.0
 	for _, w := range m.order {
 		switch r := w.answers.rate(m.now); {
