--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: brink variants
+.PHONY: brink variants soak soak-check
 .PHONY: build test race lint run fuzz bench measure-traces measure-outage measure-fleet measure-settings measure-zones standing standing-quick
 
 build:
@@ -82,3 +82,13 @@
 	scripts/brink.sh "$(WHY)" $(SEED)
 variants:
 	QUICK=1 scripts/brink.sh "$(WHY)" $(SEED) deploy/sites/near.toml deploy/sites/far.toml
+
+# The fault soak: real mixers among stand-ins that misbehave, SEEDS schedules of 30 s from
+# SEED on, some at a time. soak-check takes guards out of the mixer, one at a time, and asks
+# whether the soak finds that.
+SEEDS ?= 20
+soak:
+	mkdir -p bin && go build -o bin/ ./cmd/kiteloft ./cmd/soak
+	bin/soak bin/kiteloft --seed $(SEED) --seeds $(SEEDS) --parallel 5 --shrink
+soak-check:
+	scripts/soak-check.sh 4
