--- a/cmd/kiteloft/bed_test.go
+++ b/cmd/kiteloft/bed_test.go
@@ -141,6 +141,8 @@
 	collector string                     // of flows; "": they are not exported
 	extra     string                     // more of deploy/broker.toml
 	sockets   int                        // 0: 1024
+	listen    string                     // "": any address that is free
+	torn      time.Duration              // for so long only half of the configuration is there
 	launcher  bool                       // the mixer's system calls may fail
 	faults    *callfaults.Process
 }
@@ -225,7 +227,7 @@
 	}
 	var err error
 	b.Mixer, err = standin.Start(standin.Setup{Program: path, Args: args, Dir: dir, Settings: settings, Discovery: b.discovery, Known: b.members,
-		Sockets: b.sockets, Broker: "[flight]\nlisten = \"127.0.0.1:0\"\n[ipfix]\ncollector = \"" + b.collector + "\"\n" + b.extra})
+		Listen: b.listen, Torn: b.torn, Sockets: b.sockets, Broker: "[flight]\nlisten = \"127.0.0.1:0\"\n[ipfix]\ncollector = \"" + b.collector + "\"\n" + b.extra})
 	if err := errors.Join(err, <-attached); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/standin/mixer.go
+++ b/internal/standin/mixer.go
@@ -31,6 +31,8 @@
 	Broker    string            // deploy/broker.toml; "": none
 	Args      []string          // of the command line
 	Heard     func(line []byte) // is told each line of the log; nil: nobody is
+	Listen    string            // address to serve at; "": any that is free
+	Torn      time.Duration     // for so long only half of the configuration is there
 }
 
 // Mixer is a running mixer.
@@ -57,6 +59,11 @@
 	if err := m.Configure(s.Discovery); err != nil {
 		return nil, err
 	}
+	if s.Torn > 0 {
+		if err := m.tear(s.Torn); err != nil {
+			return nil, err
+		}
+	}
 	if err := m.write("deploy/broker.toml", s.Broker); err != nil {
 		return nil, err
 	}
@@ -131,14 +138,28 @@
 	}
 }
 
+// tear leaves half of the configuration, and brings the rest after a while.
+func (m *Mixer) tear(length time.Duration) error {
+	path := filepath.Join(m.setup.Dir, "config.json")
+	whole, err := os.ReadFile(path)
+	if err != nil {
+		return fmt.Errorf("stand-in: %w", err)
+	}
+	time.AfterFunc(length, func() { _ = m.write("config.json", string(whole)) }) // a failure shows at the start
+	return m.write("config.json", string(whole[:len(whole)/2]))
+}
+
+// Tear has only half of the present configuration be there for a while.
+func (m *Mixer) Tear(length time.Duration) error { return m.tear(length) }
+
 // Configure writes the mixer's configuration anew, with another discovery.
 func (m *Mixer) Configure(discovery string) error {
 	known, err := json.Marshal(map[string]any{"revision": 1, "complete": true, "members": m.setup.Known})
 	if err != nil {
 		return fmt.Errorf("stand-in: %w", err)
 	}
-	return m.write("config.json", fmt.Sprintf(`{"name":"%s","listen":"127.0.0.1:0","discovery":"%s","seed":"8c1f30d27a5be964",
-"limits":{"cores":1,"memory_mb":%d,"sockets":%d},"known":%s,"settings":%s}`, cmp.Or(m.setup.Name, "n0"), discovery,
+	return m.write("config.json", fmt.Sprintf(`{"name":"%s","listen":"%s","discovery":"%s","seed":"8c1f30d27a5be964",
+"limits":{"cores":1,"memory_mb":%d,"sockets":%d},"known":%s,"settings":%s}`, cmp.Or(m.setup.Name, "n0"), cmp.Or(m.setup.Listen, "127.0.0.1:0"), discovery,
 		cmp.Or(m.setup.MemoryMB, 192), cmp.Or(m.setup.Sockets, 1024), known, m.setup.Settings))
 }
 
