Starts and new configurations wait a second for what is half done

Cause: the configuration was read once, at a start and at a hang-up, and the address was bound once. Change: a faulty file is looked at again for 1 s, every 50 ms, before it counts as faulty; while serving that does not hold up a signal to end. The same for an address that is taken.

--- a/cmd/kiteloft/main.go
+++ b/cmd/kiteloft/main.go
@@ -96,7 +96,11 @@
 	out := logTo(os.Stderr)
 	defer func() { _ = out.Close() }() // nobody is left to tell
 	log := zerolog.New(out).With().Timestamp().Logger()
-	cfg, err := config.Load(getenv, brokerFile)
+	var cfg config.Config
+	err := persist(func() (err error) {
+		cfg, err = config.Load(getenv, brokerFile)
+		return err
+	})
 	if err != nil {
 		log.Error().Err(err).Msg("configuration is faulty")
 		return 2
@@ -152,14 +156,55 @@
 	return s
 }
 
-// reload reads the configuration again and returns the one that holds from now.
-func reload(old config.Config, getenv func(string) string, move func(addr string), log zerolog.Logger) config.Config {
-	cfg, err := config.Reload(getenv, brokerFile)
-	if err != nil {
-		// Guards the service against a file that is wrong or half written.
-		log.Error().Err(err).Msg("new configuration is faulty, the old one stays")
-		return old
+const (
+	settleTime = time.Second // by when what is half done at a start or a hang-up is whole
+	settlePace = 50 * time.Millisecond
+)
+
+// persist tries something again for a moment: a file may be in the middle of being written, an
+// address about to be left by its last owner.
+func persist(try func() error) error {
+	for until := time.Now().Add(settleTime); ; time.Sleep(settlePace) {
+		if err := try(); err == nil || time.Now().After(until) {
+			return err
+		}
+	}
+}
+
+// reloads reads the configuration again when it is told to. A file that is faulty may be in the
+// middle of being written: it is looked at again for a while.
+type reloads struct {
+	held   config.Config
+	getenv func(string) string
+	move   func(addr string)
+	log    zerolog.Logger
+	until  time.Time // of the present one
+	again  <-chan time.Time
+}
+
+// begin reads the configuration.
+func (r *reloads) begin() {
+	r.until = time.Now().Add(settleTime)
+	r.try()
+}
+
+// try reads the configuration, and has it read again soon if it is faulty.
+func (r *reloads) try() {
+	r.again = nil
+	cfg, err := config.Reload(r.getenv, brokerFile)
+	switch {
+	case err == nil:
+		r.held = reload(r.held, cfg, r.move, r.log)
+	case time.Now().Before(r.until):
+		r.again = time.After(settlePace)
+	default:
+		// Guards the service against a file that is wrong.
+		r.log.Error().Err(err).Msg("new configuration is faulty, the old one stays")
 	}
+}
+
+// reload follows a new configuration and returns what holds from now.
+func reload(old, cfg config.Config, move func(addr string), log zerolog.Logger) config.Config {
 	for _, key := range old.Fixed(cfg) {
 		log.Warn().Str("key", key).Msg("changed key takes effect at the next start")
 	}
@@ -198,7 +243,11 @@
 	core.Count(&count.set)
 	links.Counts, dir.Counts = &count.set, &count.set
 	front := platform.New(core, set.Module.Classes, set.Module.Tenants, net, log)
-	ln, err := net.Listen(cfg.Listen, func(c *transport.Conn) transport.Handler { return front.Accept(c) })
+	var ln *transport.Listener
+	err = persist(func() (err error) {
+		ln, err = net.Listen(cfg.Listen, func(c *transport.Conn) transport.Handler { return front.Accept(c) })
+		return err
+	})
 	if err != nil {
 		return fmt.Errorf("LB_LISTEN: %w", err)
 	}
@@ -253,11 +302,13 @@
 	log.Info().Str("listen", ln.Addr().String()).Int("nodes", len(cfg.Known.Members)).Msg("mixer serves")
 
 	go func() {
-		held := cfg
+		r := reloads{held: cfg, getenv: getenv, log: log, move: func(addr string) { core.Post(func() { dir.Move(addr) }) }}
 		for ending := false; !ending; {
 			select {
 			case <-sig.again:
-				held = reload(held, getenv, func(addr string) { core.Post(func() { dir.Move(addr) }) }, log)
+				r.begin()
+			case <-r.again:
+				r.try()
 			case <-sig.end:
 				ending = true // from here on, a hang-up means nothing
 			}
