--- a/internal/front/flight/flight.go
+++ b/internal/front/flight/flight.go
@@ -27,6 +27,7 @@
 	"kiteloft/internal/broker"
 	"kiteloft/internal/columns"
 	"kiteloft/internal/front"
+	"kiteloft/internal/gate"
 	"kiteloft/internal/h2"
 	"kiteloft/internal/tracing"
 	"kiteloft/internal/transport"
@@ -397,7 +398,8 @@
 				k.status(h2.Status{Code: codes.DeadlineExceeded, Message: "the call was not whole in time"})
 			}
 		}
-		switch rests := c.h2.Streams() == 0 && c.conn.Idle(); {
+		may := gate.Close(gate.Connection{Open: c.h2.Streams() > 0, Unread: !c.half && !c.conn.Quiet()})
+		switch rests := may == gate.Allowed && c.conn.Idle(); {
 		case rests && (f.closing || c.half):
 			c.conn.Close(transport.LocalDone)
 		case c.endBy > 0 && now > c.endBy:
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -13,6 +13,7 @@
 	"kiteloft/decide"
 	"kiteloft/internal/broker"
 	"kiteloft/internal/front"
+	"kiteloft/internal/gate"
 	"kiteloft/internal/http1"
 	"kiteloft/internal/tracing"
 	"kiteloft/internal/transport"
@@ -116,7 +117,7 @@
 			c.conn.Close(transport.LocalDone)
 			return
 		}
-		if c.rests() && c.conn.Quiet() && (oldest == nil || c.rest < oldest.rest) {
+		if (oldest == nil || c.rest < oldest.rest) && c.mayEnd() {
 			oldest = c
 		}
 	}
@@ -326,7 +327,7 @@
 	// Guards descriptors, and the connections that clients may hold, against clients
 	// that ask once and keep what they don't use.
 	// What has been read behind this request is owed an answer, too.
-	closes = closes || (c.f.closing || c.f.room.Busy()) && !c.parser.Started() && c.conn.Quiet()
+	closes = closes || (c.f.closing || c.f.room.Busy()) && c.mayEnd()
 	c.conn.Write(append(head(status, kind, length, after, closes), body...))
 	c.f.audit.Answered++
 	c.rest = c.f.core.Now()
@@ -398,6 +399,14 @@
 // rests tells whether nothing is open for the client, and nothing has begun to come in.
 func (c *client) rests() bool { return !c.closing && c.open == nil && !c.parser.Started() }
 
+// mayEnd tells whether the connection may be ended without a further answer.
+func (c *client) mayEnd() bool {
+	state := gate.Connection{Open: c.open != nil, Partial: c.parser.Started()}
+	// The system is asked last.
+	state.Unread = !state.Open && !state.Partial && !c.conn.Quiet()
+	return !c.closing && gate.Close(state) == gate.Allowed
+}
+
 // sweep looks after connections that no event comes for.
 func (f *Front) sweep() {
 	now, keep := f.core.Now(), front.Keep(f.room)
@@ -409,14 +418,14 @@
 				c.conn.Close(transport.LocalDone)
 			}
 		case c.open != nil:
-		case !c.served && rests && now-c.rest > front.BeginTime && c.conn.Quiet():
+		case !c.served && rests && now-c.rest > front.BeginTime && c.mayEnd():
 			// Guards descriptors against clients that connect and say nothing.
 			c.end()
 		case !rests && c.begun > 0 && now-c.begun > front.BeginTime:
 			// And against those that begin a request and never end it. One that came behind
 			// another has not been looked at yet: it has no beginning.
 			c.malformed(&http1.Error{Status: 408, Reason: "the request was not whole in time"})
-		case rests && (f.closing && now-c.rest > drainQuiet || now-c.rest > keep) && c.conn.Quiet():
+		case rests && (f.closing && now-c.rest > drainQuiet || now-c.rest > keep) && c.mayEnd():
 			c.end()
 		}
 	}
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -438,7 +438,14 @@
 	// Guards against the moment in which the poller has read bytes and not shown them: the
 	// system has counted them.
 	info, err := unix.GetsockoptTCPInfo(c.fd, unix.IPPROTO_TCP, unix.TCP_INFO)
-	return err != nil || int64(info.Bytes_received) <= c.in.Load()
+	if err != nil {
+		return true
+	}
+	received := int64(info.Bytes_received)
+	if info.State == closeWait {
+		received-- // the end of its side counts as a byte
+	}
+	return received <= c.in.Load()
 }
 
 // Finish says that nothing more will be written and nothing more is heard. What
