A guard's line says what happened to its request; ends of connections are counted by reason; soak pushes lists

Cause: when a guard stepped in, nothing said what had happened to the request before unless traces were on, and nothing counted why connections ended. Soak: one run in three has lists pushed to agents, configurations are torn under some hang-ups.

--- a/cmd/kiteloft/counts.go
+++ b/cmd/kiteloft/counts.go
@@ -8,6 +8,7 @@
 
 	"kiteloft/internal/broker"
 	"kiteloft/internal/counts"
+	"kiteloft/internal/transport"
 )
 
 // countPace is how often the counts are written: one line a mixer, however much it does.
@@ -17,10 +18,14 @@
 type counter struct {
 	core *broker.Core
 	set  counts.Set
-	cpu  int64 // microseconds used before
+	cpu  int64                 // microseconds used before
+	ends map[transport.End]int // connections that ended, of clients and of servers
 	log  zerolog.Logger
 }
 
+// ended counts a connection that has ended, by the way in which it did.
+func (c *counter) ended(s transport.Stats) { c.ends[s.End]++ }
+
 func (c *counter) start() {
 	c.cpu = usedCPU()
 	c.core.After(countPace, c.write)
@@ -32,6 +37,14 @@
 	c.cpu = used
 	c.set.Add(counts.ListAgeMillis, c.core.ListAge().Milliseconds())
 	line := c.log.Info().Int64("at_ms", time.Now().UnixMilli())
+	if len(c.ends) > 0 {
+		ends := zerolog.Dict()
+		for e, n := range c.ends {
+			ends = ends.Int(e.String(), n)
+		}
+		line = line.Dict("ends", ends)
+		clear(c.ends)
+	}
 	c.set.Each(func(k counts.Kind, n int64) { line = line.Int64(k.String(), n) })
 	line.Msg("counts")
 	c.set.Clear()
--- a/cmd/kiteloft/main.go
+++ b/cmd/kiteloft/main.go
@@ -228,10 +228,11 @@
 		return err
 	}
 	var flows *ipfix.Exporter
-	ended := func(transport.Stats) {}
+	count := &counter{core: core, log: log, ends: map[transport.End]int{}}
+	ended := count.ended
 	if cfg.IPFIXCollector != "" {
 		flows = ipfix.NewExporter(core, transport.NewNet(core, transport.Limits{Conns: 1}, nil), cfg.IPFIXCollector, cfg.Name, log)
-		ended = flows.Add
+		ended = func(s transport.Stats) { count.ended(s); flows.Add(s) }
 	}
 	net := transport.NewNet(core, transport.Limits{Conns: cfg.Sockets - ownFiles, Backlog: cfg.MemoryMB << 20 / backlogShare}, ended)
 	links := node.New(core, net, node.Limits{ConnectTimeout: set.ConnectTimeout, ConnIdle: set.ConnIdle,
@@ -239,7 +240,6 @@
 	dir := discovery.New(core, net.Direct(), cfg.Discovery, set.Zones, log)
 	dir.Mixers, dir.Pushed = set.Module.Aggregators, !set.Module.AskDiscovery
 	core.Use(links, dir)
-	count := &counter{core: core, log: log}
 	core.Count(&count.set)
 	links.Counts, dir.Counts = &count.set, &count.set
 	front := platform.New(core, set.Module.Classes, set.Module.Tenants, net, log)
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -138,6 +138,7 @@
 	log    Log
 	traces *tracing.Recorder // nil: none are recorded
 	counts *counts.Set       // nil: nothing is counted
+	recent *counts.Recent    // what happened of late, for the lines of guards
 	listed time.Duration     // when we last heard of the list
 	watch  *storm.Watch
 	judged time.Duration
@@ -279,8 +280,8 @@
 // Record has the core hand what it does to r.
 func (c *Core) Record(r *tracing.Recorder) { c.traces = r }
 
-// Count has the core count what it does in s.
-func (c *Core) Count(s *counts.Set) { c.counts = s }
+// Count has the core count what it does in s, and keep what happened of late.
+func (c *Core) Count(s *counts.Set) { c.counts, c.recent = s, new(counts.Recent) }
 
 // ListAge is how long ago the list was last heard of.
 func (c *Core) ListAge() time.Duration { return c.now - c.listed }
@@ -410,10 +411,10 @@
 	// Guards memory, and the module against more than its settings promise.
 	if most := c.limits.MaxOpen; most > 0 && c.held+1+len(in.Parts) > most {
 		c.watch.Ended(c.now, false)
-		c.counts.Add(counts.Crowded, 1)
+		c.saw(counts.Crowded, in.WireID, "")
 		return Crowded, nil
 	}
-	c.counts.Add(counts.Taken, 1)
+	c.saw(counts.Taken, in.WireID, "")
 	c.audit.Taken++
 	c.number++
 	q := &query{Query: in, id: "q" + number(c.number), number: c.number, class: &c.set.Module.Classes[in.Class],
@@ -501,7 +502,7 @@
 func (c *Core) close(q *query, how tracing.How, why decide.Cause) {
 	q.over = true
 	c.audit.Ended++
-	c.counts.Add(ended(how, why), 1)
+	c.saw(ended(how, why), q.WireID, "")
 	c.held -= q.counted
 	delete(c.queries, q.id)
 	delete(c.wireIDs, q.WireID)
@@ -554,7 +555,7 @@
 	if c.observer != nil {
 		c.observer.Seen(c.members[a.Node.ID], o, c.now-a.sent, a.p.q.class.Aim)
 	}
-	c.counts.Add(outcomes[o], 1)
+	c.saw(outcomes[o], a.WireID, a.Node.ID)
 	a.p.out--
 	c.report(a, o)
 	if a.p.out == 0 && (a.p.q.over || a.p.second != a.p.q.second) {
--- a/internal/broker/count.go
+++ b/internal/broker/count.go
@@ -18,6 +18,12 @@
 		decide.NoClass: counts.RefusedNoHope}
 )
 
+// saw counts something that happened to a request, and keeps it for the lines of guards.
+func (c *Core) saw(what counts.Kind, request, server string) {
+	c.counts.Add(what, 1)
+	c.recent.Note(counts.Event{At: c.now, Request: request, Server: server, What: what})
+}
+
 // ended is what the end of a query is counted as.
 func ended(how tracing.How, why decide.Cause) counts.Kind {
 	switch how {
--- a/internal/broker/step.go
+++ b/internal/broker/step.go
@@ -139,7 +139,7 @@
 		a.From, a.Whole = q.from, q.whole
 	}
 	a.Node.Addr, a.begun = m.Addr, true
-	c.counts.Add(choices[s.Why], 1)
+	c.saw(choices[s.Why], q.WireID, m.ID)
 	if m.Started > 0 && c.now < m.Started+c.set.Module.Cold {
 		c.counts.Add(counts.ToCold, 1)
 	}
@@ -159,7 +159,7 @@
 // moot reports an attempt as never sent.
 func (c *Core) moot(a *Attempt) *Attempt {
 	a.over, a.neverRan = true, true
-	c.counts.Add(counts.Moot, 1)
+	c.saw(counts.Moot, a.WireID, a.Node.ID)
 	c.report(a, decide.Moot)
 	return nil
 }
--- a/internal/broker/trace.go
+++ b/internal/broker/trace.go
@@ -65,5 +65,5 @@
 // guard logs that a guard stepped in, on a query's trace as well.
 func (c *Core) guard(q *query, rule, about string) {
 	q.trace.Event(c.now, -1, tracing.GuardEvent, rule+": "+about)
-	c.log.Guard(rule, q.WireID, q.trace.ID(), about)
+	c.log.Guard(rule, q.WireID, q.trace.ID(), about+"; so far: "+c.recent.Of(q.WireID))
 }
--- a/internal/soak/list.go
+++ b/internal/soak/list.go
@@ -22,6 +22,8 @@
 	mu      sync.Mutex
 	changes map[string]change // by server that drains or is gone
 	outages []outage
+	silent  []outage      // spans in which no watch brings anything
+	pushed  bool          // an agent has the list: what that has counts as told
 	ahead   time.Duration // of the servers' wall clocks
 }
 
@@ -102,6 +104,25 @@
 	return from
 }
 
+// had is since when a process counts as told of what an agent has, that was there from a moment on:
+// at once; where the watch had fallen silent just then, some time after that.
+func (l *list) had(from time.Time) time.Time {
+	at := l.reached(from)
+	for _, s := range l.silent {
+		if !at.Before(s.from) && at.Before(s.from.Add(missedTime)) {
+			at = s.from.Add(missedTime)
+		}
+	}
+	return at
+}
+
+// hush notes that all watches fall silent now.
+func (l *list) hush() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.silent = append(l.silent, outage{from: time.Now()})
+}
+
 // toldOf is since when a process counts as told that a server drains or is gone; false: nobody
 // was told that.
 func (l *list) toldOf(id string, p *process) (time.Time, bool) {
@@ -117,6 +138,9 @@
 	}
 	// Whatever else becomes of the calls, it counts as told some time after it could be had.
 	told := l.reached(from).Add(missedTime)
+	if l.pushed {
+		told = l.had(p.settled(from))
+	}
 	for _, addr := range p.discoveries() {
 		if at, ok := l.ToldAt(addr, c.revision, p.began); ok && at.Before(told) {
 			told = at
--- a/internal/soak/play.go
+++ b/internal/soak/play.go
@@ -18,6 +18,7 @@
 	crashKnown = time.Second            // after a crash, until discovery knows
 	leavingFor = 7 * time.Second        // for which a server that drains is still there
 	joinAfter  = time.Second            // until its successor is there
+	tornMost   = 300 * time.Millisecond // for which a configuration is half written
 	faultMost  = 300 * time.Millisecond // for which system calls fail
 )
 
@@ -66,8 +67,9 @@
 	case DiscoverySilent:
 		p.list.down(p.t.Length)
 		p.list.Hold(true)
-		p.later(func() { p.list.Hold(false); p.list.Mute() })
+		p.later(func() { p.list.Hold(false); p.list.hush(); p.list.Mute() })
 	case WatchesSilent:
+		p.list.hush()
 		p.list.Mute()
 	case WatchesCut:
 		p.list.Cut()
@@ -179,6 +181,12 @@
 		if err := m.Configure(s.addresses[p.rng.IntN(2)]); err != nil {
 			p.note("", "%s: %v", m.name, err)
 		}
+		if p.rng.IntN(4) == 0 { // the signal finds half of it
+			if err := m.Tear(time.Duration(p.rng.Int64N(int64(tornMost)))); err != nil {
+				p.note("", "%s: %v", m.name, err)
+			}
+		}
+		m.moved()
 		m.signal(syscall.SIGHUP)
 		time.Sleep(time.Duration(p.rng.Int64N(int64(400 * time.Millisecond))))
 	}
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -43,10 +43,11 @@
 	faults *callfaults.Process
 
 	mu     sync.Mutex
-	told   time.Time // of SIGTERM
-	shot   time.Time // of SIGKILL
-	struck bool      // killed outright
-	audit  bool      // its last line has come
+	told   time.Time   // of SIGTERM
+	shot   time.Time   // of SIGKILL
+	struck bool        // killed outright
+	audit  bool        // its last line has come
+	moves  []time.Time // when it got new configurations
 }
 
 // start starts a process in the slot and waits until it is ready.
@@ -222,6 +223,25 @@
 	return !p.told.IsZero() && !p.shot.IsZero() && p.shot.Sub(p.told) >= killAfter-tolerance && r.sent.Sub(p.told) <= takenLast
 }
 
+// settled is from when on what was there at a moment counts as told, as far as new configurations go.
+func (p *process) settled(from time.Time) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, at := range p.moves {
+		if !from.Before(at) && from.Before(at.Add(movedTime)) {
+			from = at.Add(movedTime)
+		}
+	}
+	return from
+}
+
+// moved notes a new configuration.
+func (p *process) moved() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.moves = append(p.moves, time.Now())
+}
+
 // signal sends a signal, if the process is there.
 func (p *process) signal(sig syscall.Signal) {
 	if !p.over() {
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -38,6 +38,7 @@
 	partsMean   = 2.5 // of a request
 	bears       = 2.0 // what a warm server bears, as a multiple of its mean share of the parts
 	lastWords   = 6 * time.Second
+	pushedEach  = 3 // in one of so many runs lists are pushed to agents
 )
 
 // world is a run under way.
@@ -82,6 +83,7 @@
 		members = append(members, s.member(0))
 	}
 	w.list = newList(members)
+	w.list.pushed = o.Seed%pushedEach == 0
 	defer w.list.Close()
 	defer w.end()
 	if err := w.startAll(); err != nil {
@@ -236,13 +238,17 @@
 		list = append(list, fmt.Sprintf(`{"name":"%s","semantics":"%s","aim":1,"deadline":3,"memory_span":%g,"worth":1,"late_value":0.1}`,
 			c.name, effects[c.effect], c.window.Seconds()))
 	}
-	return fmt.Sprintf(`{"balancers":%d,"tick":0.005,"discovery":"ask","failure_domains":["a"],
+	how := "ask"
+	if w.list.pushed {
+		how = "push"
+	}
+	return fmt.Sprintf(`{"balancers":%d,"tick":0.005,"discovery":"%s","failure_domains":["a"],
 "caps":{"cancel":true,"conn_idle":5,"connect_timeout":0.25,"max_attempts":%d,"max_open":2000,"max_retry_after":2,"probes":true,
  "retry_after":true,"second_copies":true,"streams_per_conn":32},
 "classes":[%s],
 "family_info":{"per_call":8,"positions":%d,"span":%d,"ranges":%d,"class_floor":[1,1,1],"need_by_class":[1,1,1]},
 "rules":{"ask_within":10,"cold":%g,"cold_from":%g,"drain_grace":%g,"fall":%g,"fall_multiple":%g,"grace_to_answer":0.02}}`,
-		w.o.Mixers, maxAttempts, strings.Join(list, ","), cells, span, cells, coldTime.Seconds(), coldFrom, drainGrace.Seconds(),
+		w.o.Mixers, how, maxAttempts, strings.Join(list, ","), cells, span, cells, coldTime.Seconds(), coldFrom, drainGrace.Seconds(),
 		coldWindow.Seconds(), coldTimes)
 }
 
