--- a/cmd/kiteloft/calls_test.go
+++ b/cmd/kiteloft/calls_test.go
@@ -94,19 +94,24 @@
 func TestNothingBeginsForAClientThatLeftBeforeItWasAccepted(t *testing.T) {
 	t.Parallel()
 	const wait, tries = 300 * time.Millisecond, 5
-	b, p := startWithFaults(t, sound)
-	for i := range tries {
-		p.Fail(callfaults.Accept, wait, unix.ENOMEM)
-		c := dial(t, b)
-		_, _ = io.WriteString(c, request(fmt.Sprintf("gone%d", i), lookup, ""))
-		_ = c.CloseWrite()
-		stays := dial(t, b)
-		_, _ = io.WriteString(stays, request(fmt.Sprintf("stays%d", i), lookup, ""))
-		_ = responses(t, stays, 1)
-	}
-	for id := range begun(b.parts()) {
-		if id[:4] == "gone" {
-			t.Errorf("parts of %s were sent", id)
-		}
+	for _, tt := range leavings {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			b, p := startWithFaults(t, sound)
+			for i := range tries {
+				p.Fail(callfaults.Accept, wait, unix.ENOMEM)
+				c := dial(t, b)
+				_, _ = io.WriteString(c, request(fmt.Sprintf("gone%d", i), lookup, ""))
+				tt.do(c)
+				stays := dial(t, b)
+				_, _ = io.WriteString(stays, request(fmt.Sprintf("stays%d", i), lookup, ""))
+				_ = responses(t, stays, 1)
+			}
+			for id := range begun(b.parts()) {
+				if id[:4] == "gone" {
+					t.Errorf("parts of %s were sent", id)
+				}
+			}
+		})
 	}
 }
