A reset that is there when a request is read ends it at once, as a FIN does

Cause: with the bytes we read whether the peer has ended its side; only a FIN counted, a connection that was reset by then has another state. Ruled out: the mailbox and the step, by the soak's timeline (read, begun and sent within 4 ms, 0.25 s after the client left).

--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -188,7 +188,7 @@
 	if info.Bytes_received > 0 { // a system that counts knows the rest as well
 		unread = min(time.Duration(info.Last_data_recv)*time.Millisecond, mostUnread)
 	}
-	return unread, info.State == closeWait
+	return unread, info.State == closeWait || info.State == closed
 }
 
 // Waited is how long the bytes of the present Data have waited for the owner since they came.
@@ -266,7 +266,11 @@
 	c.tell()
 }
 
-const closeWait = 8 // TCP_CLOSE_WAIT: the peer has ended its side
+// States of a TCP connection, as TCP_INFO has them.
+const (
+	closed    = 7 // TCP_CLOSE: the peer has reset it
+	closeWait = 8 // TCP_CLOSE_WAIT: the peer has ended its side
+)
 
 // finSeen tells an orderly end from a reset.
 func finSeen(fd int) bool {
