Soak: in one run of two mixers end while servers hang and clients ask on

Cause: two of the check's patches (no last answers, one answer) were not found: nothing asked while mixers ended.

--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -39,6 +39,7 @@
 	bears       = 2.0 // what a warm server bears, as a multiple of its mean share of the parts
 	lastWords   = 6 * time.Second
 	pushedEach  = 3 // in one of so many runs lists are pushed to agents
+	crossEach   = 2 // in one of so many mixers end while servers hang and clients ask on
 )
 
 // world is a run under way.
@@ -100,6 +101,9 @@
 		}
 	}
 	time.Sleep(o.Length)
+	if o.Seed%crossEach == 0 {
+		w.finishUnderWay()
+	}
 	w.mu.Lock()
 	w.stops = true
 	w.mu.Unlock()
@@ -107,6 +111,23 @@
 	return w.report(), nil
 }
 
+// finishUnderWay ends half of the mixers while clients ask on and no server answers any more.
+func (w *world) finishUnderWay() {
+	w.note("", "half of the mixers end while all servers hang")
+	w.mu.Lock()
+	w.on[ClientsPipeline]++
+	w.mu.Unlock()
+	for _, s := range slices.Clone(w.servers) {
+		s.set(func(s *server) { s.hangs = time.Now().Add(2 * killAfter) })
+	}
+	for _, s := range w.slots[:len(w.slots)/2] {
+		if p := s.present(); p != nil && !p.over() {
+			w.spawn(p.term)
+		}
+	}
+	time.Sleep(killAfter)
+}
+
 func (w *world) startAll() error {
 	var all sync.WaitGroup
 	errs := make([]error, w.o.Mixers)
