--- a/cmd/kiteloft/crossings_test.go
+++ b/cmd/kiteloft/crossings_test.go
@@ -181,3 +181,37 @@
 		t.Errorf("the last answer came %v after SIGTERM, want it by %v", took, killed-2*heldUp)
 	}
 }
+
+// TestAPipelinedRequestIsNotLostBehindOneThatHangs: answers go out in the order of the requests, and
+// the servers of the first never answer. The second has less time: half a second after that it counts as
+// lost, so that the first may not be waited for until then.
+func TestAPipelinedRequestIsNotLostBehindOneThatHangs(t *testing.T) {
+	t.Parallel()
+	const lost = 500 * time.Millisecond
+	b := start(t, platformWire{}, silentFor("slow"))
+	tests := []struct {
+		name      string
+		deadlines []time.Duration // the first one's servers are silent
+		pause     time.Duration   // before the others are sent
+	}{
+		{"sent at once", []time.Duration{4 * time.Second, 600 * time.Millisecond}, 0},
+		{"sent later", []time.Duration{4 * time.Second, 600 * time.Millisecond}, 300 * time.Millisecond},
+		{"the last of three", []time.Duration{4 * time.Second, 3 * time.Second, 700 * time.Millisecond}, 0},
+	}
+	for i, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			c := dial(t, b)
+			_, _ = io.WriteString(c, withDeadline(fmt.Sprintf("slow%d", i), tt.deadlines[0]))
+			time.Sleep(tt.pause)
+			sent := time.Now()
+			for n, d := range tt.deadlines[1:] {
+				_, _ = io.WriteString(c, withDeadline(fmt.Sprintf("behind%d-%d", i, n), d))
+			}
+			_ = responses(t, c, len(tt.deadlines))
+			if took, least := time.Since(sent), tt.deadlines[len(tt.deadlines)-1]; took > least+lost {
+				t.Errorf("answered after %v, its time was %v", took, least)
+			}
+		})
+	}
+}
