What waits behind a request that hangs is answered before it counts as lost

Ruled out: closing the connection, which leaves what was read without an answer; answers out of order.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -481,6 +481,18 @@
 	h.c.events = append(h.c.events, decide.ClientGone{Query: h.q.id})
 }
 
+// EndBy has the query fail by then, if that is before its time is up: others wait for its answer.
+func (h *Handle) EndBy(at time.Duration) {
+	if h.q.over || at >= h.q.end {
+		return
+	}
+	h.c.timers.add(at, func() {
+		if !h.q.over {
+			h.c.abandon(h.q)
+		}
+	})
+}
+
 // lastMoment guards against a query left without an answer, whatever the module
 // does: one final answer, before the client's time is up.
 func (c *Core) lastMoment(q *query) {
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -25,6 +25,8 @@
 	maxBuffered = http1.MaxHead + 2*http1.MaxBody // bytes of requests that wait for an answer before them
 	drainQuiet  = 100 * time.Millisecond          // how long a connection rests before it is closed at the end
 	version     = "HTTP/1.1 "
+	// mostDeadlineMS is the longest deadline that is taken for one: a day.
+	mostDeadlineMS = 24 * 3600 * 1000
 )
 
 // Front serves clients.
@@ -71,6 +73,7 @@
 	f       *Front
 	conn    front.Conn
 	parser  *http1.Parser
+	behind  pipeline
 	open    *request // the one that is being answered
 	closing bool
 	rest    time.Duration // since when nothing is open
@@ -90,6 +93,7 @@
 	id     string
 	came   time.Duration
 	due    time.Duration // when its time is up
+	ends   time.Duration // by when it fails for the sake of those behind it; 0: nobody hurries it
 }
 
 // Accept takes a new connection. Unlike all else here, it may be called on any
@@ -134,9 +138,10 @@
 	c.parser.Write(b)
 	c.arrived.add(len(b), c.f.core.Instant()-c.conn.Waited())
 	c.next()
+	c.readAhead()
 	// Guards memory against a client that pipelines without end. What was read whole is owed
 	// an answer.
-	if c.open != nil && c.parser.Buffered() > maxBuffered {
+	if c.open != nil && c.parser.Buffered()+c.behind.size() > maxBuffered {
 		c.flooded = true
 	}
 }
@@ -152,7 +157,7 @@
 // next serves the requests that are whole, until one has to wait for its answer.
 func (c *client) next() {
 	for c.open == nil && !c.closing {
-		m, err := c.parser.Next()
+		m, at, err := c.read()
 		if err != nil {
 			c.malformed(err)
 			return
@@ -162,7 +167,6 @@
 			return
 		}
 		if m == nil {
-			c.arrived.unfinished()
 			if !c.parser.Started() {
 				c.begun = 0
 			} else if c.begun == 0 {
@@ -176,8 +180,9 @@
 		}
 		c.begun, c.served = 0, true
 		c.f.audit.Asked++
-		c.serve(m)
+		c.serve(m, at)
 	}
+	c.hurry()
 }
 
 func (c *client) malformed(err error) {
@@ -190,7 +195,8 @@
 	c.reply(status, "text/plain", []byte(why+"\n"), 0, true)
 }
 
-func (c *client) serve(m *http1.Message) {
+// serve answers a request that was whole at a time.
+func (c *client) serve(m *http1.Message, at time.Duration) {
 	path, _, _ := strings.Cut(m.Target, "?")
 	text := func(status int, body string) { c.reply(status, "text/plain", []byte(body+"\n"), 0, m.Close) }
 	switch {
@@ -219,7 +225,7 @@
 	// Its time began when it was whole: it may have waited for our turn, and a pipelined one
 	// for the answers before it.
 	now := c.f.core.Now()
-	if q.Left -= now - c.arrived.whole(c.parser.Buffered(), now); q.Left <= 0 {
+	if q.Left -= now - at; q.Left <= 0 {
 		text(504, "out of time")
 		return
 	}
@@ -253,7 +259,7 @@
 		return q, 400, "Req-Id is missing or no word"
 	}
 	ms, err := strconv.ParseInt(m.Header.Get("req-deadline-ms"), 10, 64)
-	if err != nil || ms <= 0 || ms > 24*3600*1000 {
+	if err != nil || ms <= 0 || ms > mostDeadlineMS {
 		return q, 400, "Req-Deadline-Ms is no time"
 	}
 	q = broker.Query{WireID: id, Class: class, Tenant: front.NoTenant, Left: time.Duration(ms) * time.Millisecond,
@@ -363,7 +369,7 @@
 		return
 	}
 	c.closing, c.endBy = true, c.f.core.Now()+front.LingerTime
-	c.parser, c.arrived = http1.NewRequestParser(), arrivals{} // what came in holds no memory any more
+	c.parser, c.arrived, c.behind = http1.NewRequestParser(), arrivals{}, nil // what came in holds no memory any more
 	c.conn.Finish(transport.LocalDone)
 }
 
@@ -397,11 +403,14 @@
 }
 
 // rests tells whether nothing is open for the client, and nothing has begun to come in.
-func (c *client) rests() bool { return !c.closing && c.open == nil && !c.parser.Started() }
+func (c *client) rests() bool { return !c.closing && c.open == nil && !c.partial() }
+
+// partial tells whether something has come of a request that is not answered yet.
+func (c *client) partial() bool { return c.parser.Started() || len(c.behind) > 0 }
 
 // mayEnd tells whether the connection may be ended without a further answer.
 func (c *client) mayEnd() bool {
-	state := gate.Connection{Open: c.open != nil, Partial: c.parser.Started()}
+	state := gate.Connection{Open: c.open != nil, Partial: c.partial()}
 	// The system is asked last.
 	state.Unread = !state.Open && !state.Partial && !c.conn.Quiet()
 	return !c.closing && gate.Close(state) == gate.Allowed
