--- a/cmd/kiteloft/owed_test.go
+++ b/cmd/kiteloft/owed_test.go
@@ -199,6 +199,22 @@
 	}
 }
 
+// TestADrainThatASlowDiscoveryTells: each answer of discovery is on its way for 3 s, for long. It
+// can be reached, so that what it has counts as told 6 s later.
+func TestADrainThatASlowDiscoveryTells(t *testing.T) {
+	t.Parallel()
+	b := &bed{sick: func(d *standin.Directory) { d.SetSlow(3 * time.Second) }}
+	var last lastPart
+	b.pair(t, platformWire{}, last.answer, nil)
+	b.run(t, settings)
+	time.Sleep(5 * time.Second) // some calls come and go
+	begun := time.Now()
+	b.Tell(0, "leaving")
+	if at := last.since(t, b, begun, 12*time.Second); at > 8*time.Second {
+		t.Errorf("a part went to the node that drains %v after discovery had that", at)
+	}
+}
+
 // TestPushedListsAreWatched: where lists are pushed, an agent at the address of discovery has
 // them. What it has counts as told from the start, so it is watched though the module asks for
 // nothing, and again at once when a call fails.
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -73,6 +73,9 @@
 	}
 	p.Mixer, err = standin.Start(standin.Setup{Program: launcher, Args: []string{callfaults.LaunchArgument, s.w.o.Program}, Dir: dir,
 		Name: fmt.Sprintf("m%d", s.number), Settings: s.w.settings(), Discovery: s.addresses[0], Known: s.w.list.present(), Heard: p.heard})
+	if p.Mixer != nil && p.Mixer.Cmd != nil && p.Mixer.Cmd.Process != nil {
+		s.w.own(p.Mixer)
+	}
 	if err == nil {
 		err = <-attached
 	}
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -53,6 +53,7 @@
 	requests map[string]*request
 	servers  []*server
 	slots    []*slot
+	mixers   []*standin.Mixer // all that were ever started
 	number   int
 	serial   int
 	on       [kinds]int // troubles that are there
@@ -165,10 +166,8 @@
 	w.done, w.stops = true, true
 	list := slices.Clone(w.servers)
 	w.mu.Unlock()
-	for _, s := range w.slots {
-		if p := s.present(); p != nil {
-			p.Kill()
-		}
+	for _, m := range w.mixers {
+		m.Kill()
 	}
 	for _, s := range list {
 		s.crash()
@@ -189,6 +188,16 @@
 	return r
 }
 
+// own notes a mixer that has to be gone when the run is over.
+func (w *world) own(m *standin.Mixer) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.mixers = append(w.mixers, m)
+	if w.done {
+		m.Kill()
+	}
+}
+
 // spawn runs a task that the run waits for.
 func (w *world) spawn(fn func()) { w.tasks.Go(fn) }
 
--- a/internal/standin/directory.go
+++ b/internal/standin/directory.go
@@ -33,6 +33,7 @@
 	changed  map[string]int // revision of each member's latest change
 	news     chan struct{}
 	holds    bool                 // calls that come are never answered
+	slow     time.Duration        // every answer is on its way for so long
 	muted    time.Time            // calls that came before it are never answered
 	calls    map[string]int       // by the address called
 	told     map[string]int       // the latest revision that went out, by the address called
@@ -113,9 +114,15 @@
 					list = append(list, m)
 				}
 			}
-			d.told[r.Host] = d.revision
-			d.tellings[r.Host] = append(d.tellings[r.Host], telling{d.revision, time.Now()})
-			out, err := json.Marshal(map[string]any{"revision": d.revision, "complete": from == 0, "members": list})
+			revision := d.revision
+			out, err := json.Marshal(map[string]any{"revision": revision, "complete": from == 0, "members": list})
+			if slow := d.slow; slow > 0 {
+				d.mu.Unlock()
+				time.Sleep(slow)
+				d.mu.Lock()
+			}
+			d.told[r.Host] = max(d.told[r.Host], revision)
+			d.tellings[r.Host] = append(d.tellings[r.Host], telling{revision, time.Now()})
 			d.mu.Unlock()
 			if err == nil {
 				_, _ = w.Write(out) // a mixer that has gone hears nothing
@@ -226,6 +233,13 @@
 	}
 }
 
+// SetSlow has every answer be on its way for so long; 0: for no time.
+func (d *Directory) SetSlow(by time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.slow = by
+}
+
 // FailNext has so many calls that come next, or are open, answered by 503.
 func (d *Directory) FailNext(n int) {
 	d.mu.Lock()
