An answer of discovery that comes late is taken, beside the call made in its place

Cause: a call that was not answered in time was dropped with its connection. Ruled out: waiting longer for each call, which finds a silence later and leaves no time to ask again within the 6 s after which all counts as told. Change: such a call stays open for 4 s more; its answer counts unless more was heard since, or discovery moved. As many calls as before.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -29,6 +29,7 @@
 	maxList        = 8 << 20                 // bytes of a list that we take
 	movePatience   = 1500 * time.Millisecond // the same of a new address, within moveTime: there has to be time to ask again
 	movePace       = 200 * time.Millisecond  // between calls that fail to a new address, within it, or to an agent
+	lateTime       = 4 * time.Second         // for which the answer to a call that was made anew is still taken
 	path           = "/registry/instances"
 )
 
@@ -115,6 +116,7 @@
 	request string
 	watch   bool
 	over    bool
+	late    bool          // it was made anew for want of an answer, which may still come
 	whole   bool          // the watch begins with the whole list
 	move    int           // the client's moves when it began
 	seq     int           // of the request that is out
@@ -272,23 +274,43 @@
 func (k *call) unanswered() {
 	c := k.c
 	if c.watch != k || c.silent || c.core.Now() < c.eager {
-		k.fail("no answer in time")
+		k.wait()
+		k.failed("no answer in time")
 		return
 	}
 	c.log.Info().Str("discovery", c.addr).Msg("a watch fell silent and is begun anew")
 	c.Counts.Add(counts.DirectoryFailed, 1)
 	c.told.silent()
 	c.silent = true
-	whole := k.whole
-	k.end()
-	c.begin(whole)
+	k.wait()
+	c.begin(k.whole)
+}
+
+// wait leaves a call open for an answer that comes late, beside the one that takes its place.
+// Guards against a discovery that is slow for long: no call would ever be heard.
+func (k *call) wait() {
+	k.late = true
+	k.seq++
+	k.c.core.After(lateTime, func() {
+		if !k.over {
+			k.end()
+		}
+	})
 }
 
 func (k *call) fail(why string) {
 	if k.over {
 		return
 	}
+	late := k.late
 	k.end()
+	if !late {
+		k.failed(why)
+	}
+}
+
+// failed tells of a call without an answer, and has another made.
+func (k *call) failed(why string) {
 	k.c.Counts.Add(counts.DirectoryFailed, 1)
 	k.c.told.failed()
 	if k.c.watch == k {
@@ -353,6 +375,10 @@
 		k.c.log.Info().Msg("discovery answers again")
 	}
 	k.seq++
+	if k.late {
+		k.answeredLate(l)
+		return
+	}
 	if !k.watch {
 		k.end()
 		if k.move != k.c.moves {
@@ -378,6 +404,16 @@
 	k.c.take(l, k)
 }
 
+// answeredLate takes the answer to a call in whose place another was made, unless more was heard
+// since.
+func (k *call) answeredLate(l List) {
+	k.end()
+	if k.move == k.c.moves && l.Revision >= k.c.revision && (l.Complete || len(l.Members) > 0) {
+		l.Told = k.c.told.heard(k.c.core.Now(), k.came)
+		k.c.Take(l)
+	}
+}
+
 // take hands on a watch's news and goes on watching at once: a watch goes on
 // only if the next call comes within 200 ms.
 func (c *Client) take(l List, k *call) {
