--- a/internal/soak/play.go
+++ b/internal/soak/play.go
@@ -19,6 +19,7 @@
 	leavingFor = 7 * time.Second        // for which a server that drains is still there
 	joinAfter  = time.Second            // until its successor is there
 	tornMost   = 300 * time.Millisecond // for which a configuration is half written
+	slowMost   = 3 * time.Second        // for which an answer of discovery is on its way
 	faultMost  = 300 * time.Millisecond // for which system calls fail
 )
 
@@ -77,6 +78,9 @@
 		p.list.down(p.t.Length)
 		p.list.SetFailing(4)
 		p.later(func() { p.list.SetFailing(0) })
+	case DiscoverySlow:
+		p.list.SetSlow(time.Duration(p.rng.Int64N(int64(slowMost))))
+		p.later(func() { p.list.SetSlow(0) })
 	case DrainServers:
 		for _, s := range p.someServers() {
 			p.spawn(func() { p.drain(s) })
--- a/internal/soak/trouble.go
+++ b/internal/soak/trouble.go
@@ -37,6 +37,7 @@
 	ClientsCrowd                 // clients connect and say nothing
 	ShortDeadlines               // requests come with very little time left
 	ClockStep                    // the servers' wall clocks are set
+	DiscoverySlow                // every answer of discovery is on its way for long
 	CallFaults                   // system calls of mixers fail for moments
 	kinds
 )
@@ -45,7 +46,7 @@
 	"discovery-silent", "watches-silent", "watches-cut", "discovery-crowded", "drain-servers", "crash-servers",
 	"return-cold", "hang-servers", "hang-all", "reset-links", "close-idle", "spoil-answers", "deaf-servers",
 	"clients-leave", "clients-stall", "clients-pipeline", "clients-flood", "clients-crowd", "short-deadlines",
-	"clock-step", "call-faults"}
+	"clock-step", "discovery-slow", "call-faults"}
 
 // String is the kind's name in reports.
 func (k Kind) String() string { return kindNames[k] }
