--- a/internal/soak/play.go
+++ b/internal/soak/play.go
@@ -79,6 +79,9 @@
 		p.list.SetFailing(4)
 		p.later(func() { p.list.SetFailing(0) })
 	case DiscoverySlow:
+		if p.list.pushed {
+			return // what an agent has counts as told at once; it is beside the mixer
+		}
 		p.list.SetSlow(time.Duration(p.rng.Int64N(int64(slowMost))))
 		p.later(func() { p.list.SetSlow(0) })
 	case DrainServers:
--- a/internal/soak/server.go
+++ b/internal/soak/server.go
@@ -11,6 +11,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -77,9 +79,29 @@
 	s.ended = true
 	s.mu.Unlock()
 	_ = s.ln.Close()
+	s.hold()
 	s.reset()
 }
 
+// hold keeps the address of a server that has crashed, so that nobody else's server is found
+// there: connections to it are refused.
+func (s *server) hold() {
+	if s.w.over() {
+		return
+	}
+	at := s.ln.Addr().(*net.TCPAddr)
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		s.w.note("", "server %s: its address is not held: %v", s.id, err)
+		return
+	}
+	_ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1) // for what is left of its connections
+	if err := unix.Bind(fd, &unix.SockaddrInet4{Port: at.Port, Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		s.w.note("", "server %s: its address is not held: %v", s.id, err)
+	}
+	s.w.held(fd)
+}
+
 // reset resets all connections.
 func (s *server) reset() {
 	s.mu.Lock()
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,70 @@
+package soak
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"kiteloft/internal/standin/callfaults"
+)
+
+func TestMain(m *testing.M) {
+	callfaults.Launch(os.Args[1:])
+	os.Exit(m.Run())
+}
+
+// program builds the mixer.
+func program(t *testing.T) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "kiteloft")
+	if out, err := exec.Command("go", "build", "-o", path, "kiteloft/cmd/kiteloft").CombinedOutput(); err != nil {
+		t.Fatalf("building: %v\n%s", err, out)
+	}
+	return path
+}
+
+// TestShortSoak plays a few small fleets. make soak plays large ones for longer.
+func TestShortSoak(t *testing.T) {
+	path := program(t)
+	for seed := range uint64(3) {
+		length := 12 * time.Second
+		r, err := Run(Options{Program: path, Dir: t.TempDir(), Seed: seed, Mixers: 3, Servers: cells, Rate: 6, Length: length, Troubles: Draw(seed, length)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, b := range r.Breaks {
+			t.Errorf("seed %d: %s %s: %s\n%s", seed, b.Rule, b.Request, b.Text, r.Timeline(b.Request))
+		}
+		if r.Outcomes["served"] == 0 {
+			t.Errorf("seed %d: nothing was served: %v", seed, r.Outcomes)
+		}
+	}
+}
+
+// TestSchedulesAreOfTheirSeeds: the same seed has the same troubles, most of them beside others.
+func TestSchedulesAreOfTheirSeeds(t *testing.T) {
+	const seeds, length = 200, 30 * time.Second
+	overlaps, seen := 0, map[Kind]bool{}
+	for seed := range uint64(seeds) {
+		list, again := Draw(seed, length), Draw(seed, length)
+		for i, a := range list {
+			if a != again[i] {
+				t.Fatalf("seed %d draws %v and %v", seed, a, again[i])
+			}
+			if a.At < quietStart || a.At+a.Length > length-quietEnd+time.Millisecond || a.Length <= 0 {
+				t.Errorf("seed %d: %v is outside of the run", seed, a)
+			}
+			seen[a.Kind] = true
+			for _, b := range list[i+1:] {
+				if a.overlaps(b) {
+					overlaps++
+				}
+			}
+		}
+	}
+	if len(seen) != int(kinds) || overlaps < 2*seeds {
+		t.Errorf("%d kinds of %d, %d overlaps in %d seeds", len(seen), kinds, overlaps, seeds)
+	}
+}
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -12,6 +12,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"kiteloft/internal/standin"
 )
 
@@ -54,6 +56,7 @@
 	servers  []*server
 	slots    []*slot
 	mixers   []*standin.Mixer // all that were ever started
+	sockets  []int            // that hold addresses of servers that have crashed
 	number   int
 	serial   int
 	on       [kinds]int // troubles that are there
@@ -172,6 +175,9 @@
 	for _, s := range list {
 		s.crash()
 	}
+	for _, fd := range w.sockets {
+		_ = unix.Close(fd) // it was only held
+	}
 	_ = os.RemoveAll(w.o.Dir) // a leftover does no harm
 }
 
@@ -198,6 +204,13 @@
 	}
 }
 
+// held notes a socket that is to be closed when the run is over.
+func (w *world) held(fd int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.sockets = append(w.sockets, fd)
+}
+
 // spawn runs a task that the run waits for.
 func (w *world) spawn(fn func()) { w.tasks.Go(fn) }
 
