--- a/internal/standin/mixer.go
+++ b/internal/standin/mixer.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"hash/fnv"
 	"io"
 	"net/http"
 	"os"
@@ -158,8 +159,8 @@
 	if err != nil {
 		return fmt.Errorf("stand-in: %w", err)
 	}
-	return m.write("config.json", fmt.Sprintf(`{"name":"%s","listen":"%s","discovery":"%s","seed":"8c1f30d27a5be964",
-"limits":{"cores":1,"memory_mb":%d,"sockets":%d},"known":%s,"settings":%s}`, cmp.Or(m.setup.Name, "n0"), cmp.Or(m.setup.Listen, "127.0.0.1:0"), discovery,
+	return m.write("config.json", fmt.Sprintf(`{"name":"%s","listen":"%s","discovery":"%s","seed":"%s",
+"limits":{"cores":1,"memory_mb":%d,"sockets":%d},"known":%s,"settings":%s}`, cmp.Or(m.setup.Name, "n0"), cmp.Or(m.setup.Listen, "127.0.0.1:0"), discovery, m.seed(),
 		cmp.Or(m.setup.MemoryMB, 192), cmp.Or(m.setup.Sockets, 1024), known, m.setup.Settings))
 }
 
@@ -174,6 +175,14 @@
 	return nil
 }
 
+// seed is the mixer's own, as the platform gives each start another: mixers of one seed choose
+// alike, all at once.
+func (m *Mixer) seed() string {
+	h := fnv.New64a()
+	_, _ = io.WriteString(h, m.setup.Name+"\x00"+filepath.Base(m.setup.Dir)) // never fails
+	return fmt.Sprintf("%016x", h.Sum64())
+}
+
 // Listen is the address at which platform clients are served.
 func (m *Mixer) Listen() string {
 	m.mu.Lock()
