--- a/decide/list.go
+++ b/decide/list.go
@@ -40,9 +40,6 @@
 	if entry.Started > 0 && m.now-entry.Started < m.set.Cold && (!s.cold || entry.Started > s.coldSince) {
 		m.chill(s, entry.Started)
 	}
-	if s.cold && s.coldSince == s.Started && 0 < entry.Started && entry.Started < s.Started {
-		s.coldSince = entry.Started // it is known to be older than it seemed
-	}
 	s.Server, s.listed = entry, entry.State != Deleted
 }
 
--- a/internal/discovery/starts.go
+++ b/internal/discovery/starts.go
@@ -16,10 +16,9 @@
 // server is how much older. Where that leaves a doubt, a server counts as younger than it is:
 // it gets less than it bears, where the reverse would overload it while it is cold.
 type starts struct {
-	ahead  time.Duration   // by how much the stamps' clock is ahead of ours, at the least
-	newest int64           // of the stamps seen
-	lives  map[string]life // by server
-	lists  int             // that have come: the one that we were started with, then discovery's
+	ahead time.Duration   // by how much the stamps' clock is ahead of ours, at the least
+	lives map[string]life // by server
+	begun bool            // a list has come
 }
 
 // life is one run of a server.
@@ -33,45 +32,24 @@
 	if s.lives == nil {
 		s.lives = map[string]life{}
 	}
-	newest := int64(0)
 	var fresh []Entry
 	for _, e := range l.Members {
-		newest = max(newest, e.UpSinceMS)
 		if e.UpSinceMS > 0 && s.lives[e.ID].stamp != e.UpSinceMS {
 			fresh = append(fresh, e)
+			s.ahead = max(s.ahead, time.Duration(e.UpSinceMS)*time.Millisecond-now)
 		}
 	}
-	s.lists++
-	// What has started since our own list was made may have done so long ago. Where discovery's
-	// first list goes on from there, all ages are taken from its newest server.
-	restart := s.lists <= 2 && newest > 0 && newest >= s.newest
-	if ahead := since(newest, now); newest > 0 && (restart || ahead > s.ahead) {
-		s.ahead = ahead
-	}
-	s.newest = max(s.newest, newest)
 	for _, e := range fresh {
-		at := s.estimate(e.UpSinceMS)
-		if !restart { // it has started since the list before
+		at := time.Duration(e.UpSinceMS)*time.Millisecond - s.ahead
+		if s.begun { // it has started since the list before
 			at = max(at, now-listDelay)
 		}
-		s.lives[e.ID] = life{e.UpSinceMS, at}
-	}
-	if restart {
-		for id, known := range s.lives {
-			s.lives[id] = life{known.stamp, s.estimate(known.stamp)}
-		}
+		s.lives[e.ID] = life{e.UpSinceMS, max(at, 1)}
 	}
+	s.begun = true
 	s.forget(l)
 }
 
-// since is by how much a stamp's clock is ahead of ours if the stamp is of now.
-func since(stamp int64, now time.Duration) time.Duration {
-	return time.Duration(stamp)*time.Millisecond - now
-}
-
-// estimate is when a server of the stamp started, by the stamps' clock. 0 means long ago.
-func (s *starts) estimate(stamp int64) time.Duration { return max(since(stamp, s.ahead), 1) }
-
 // forget bounds what is kept of servers that are off the list.
 func (s *starts) forget(l List) {
 	if !l.Complete || len(s.lives) <= len(l.Members)+mostLives {
--- a/internal/discovery/starts_test.go
+++ b/internal/discovery/starts_test.go
@@ -62,32 +62,3 @@
 	}
 	return ages
 }
-
-// TestAgesAfterARestart: the list that a mixer is started with lacks what has started since. The first
-// list of discovery names it, and says how much older one server is than another.
-func TestAgesAfterARestart(t *testing.T) {
-	for _, whole := range []bool{true, false} {
-		for _, ahead := range []time.Duration{0, time.Hour, -time.Hour} {
-			c := &turns{now: 100 * time.Second}
-			d := New(c, nil, "", nil, zerolog.Nop())
-			known := Entry{ID: "known", Phase: "active", UpSinceMS: stamp(88*time.Second, ahead)}
-			d.Take(List{Revision: 1, Complete: true, Members: []Entry{known}})
-			c.now += 500 * time.Millisecond
-			list := []Entry{known}
-			for id, at := range map[string]time.Duration{"eight": 92 * time.Second, "five": 95 * time.Second, "one": 99500 * time.Millisecond} {
-				list = append(list, Entry{ID: id, Phase: "active", UpSinceMS: stamp(at, ahead)})
-			}
-			if !whole {
-				list = list[1:]
-			}
-			d.Take(List{Revision: 2, Complete: whole, Members: list})
-			ages := c.ages()
-			for id, age := range map[string]time.Duration{"eight": 8 * time.Second, "five": 5 * time.Second, "one": time.Second} {
-				// A second is what the newest is younger than it is.
-				if got := ages[id]; got < age-1500*time.Millisecond || got > age+time.Second {
-					t.Errorf("whole %v, clock ahead by %v: %s is taken to be %v old", whole, ahead, id, got)
-				}
-			}
-		}
-	}
-}
