--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -26,6 +26,7 @@
 	Rate     float64       `help:"Requests a second of each of a mixer's two crowds of clients." default:"6"`
 	Length   time.Duration `help:"Length of a run." default:"30s"`
 	Only     []int         `help:"Only these troubles of the schedule, by their numbers."`
+	Add      []string      `help:"Kinds of trouble that come in the middle of each run, beside those drawn."`
 	Shrink   bool          `help:"Play a seed that breaks a rule again with fewer troubles, until none can be left out."`
 }
 
@@ -55,6 +56,12 @@
 		return 2
 	}
 	f.Program = program
+	for _, name := range f.Add {
+		if _, ok := soak.KindNamed(name); !ok {
+			fmt.Fprintf(os.Stderr, "no kind of trouble is named %s\n", name)
+			return 2
+		}
+	}
 	sum := total{outcomes: map[string]int{}, faults: map[soak.Kind]int{}, pairs: map[[2]soak.Kind]int{}, rules: map[string]int{}}
 	seeds := make(chan uint64)
 	var all sync.WaitGroup
@@ -96,6 +103,11 @@
 		}
 		troubles = kept
 	}
+	for _, name := range f.Add {
+		if kind, ok := soak.KindNamed(name); ok {
+			troubles = append(troubles, soak.Added(kind, seed, f.Length))
+		}
+	}
 	r, err := f.play(seed, troubles)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/internal/soak/trouble.go
+++ b/internal/soak/trouble.go
@@ -51,6 +51,17 @@
 // String is the kind's name in reports.
 func (k Kind) String() string { return kindNames[k] }
 
+// KindNamed is the kind of a name.
+func KindNamed(name string) (Kind, bool) {
+	i := slices.Index(kindNames[:], name)
+	return Kind(i), i >= 0
+}
+
+// Added is a trouble of a kind in the middle of a run, beside those that are drawn.
+func Added(k Kind, seed uint64, length time.Duration) Trouble {
+	return Trouble{Kind: k, At: length / 3, Length: longest, Part: 0.5, Seed: seed}
+}
+
 // Trouble is one trouble of a run.
 type Trouble struct {
 	Kind   Kind
--- a/scripts/soak-check.sh
+++ b/scripts/soak-check.sh
@@ -12,7 +12,9 @@
 	name=$(basename "$patch" .patch)
 	git -C "$work/tree" checkout -q . && git -C "$work/tree" apply "$here/$patch"
 	(cd "$work/tree" && go build -o "$work/kiteloft" ./cmd/kiteloft)
-	"$work/soak" "$work/kiteloft" --seed 1 --seeds "$seeds" --parallel 4 >"$work/out" || true
+	# A patch's first line may name the troubles in which its guard is needed.
+	add=$(sed -n '1s/^Troubles: //p' "$patch")
+	"$work/soak" "$work/kiteloft" --seed 1 --seeds "$seeds" --parallel 4 ${add:+--add "$add"} >"$work/out" || true
 	line=$(tail -1 "$work/out")
 	found=$(grep -c '^seed [0-9]*: [0-9]* requests, [1-9]' "$work/out" || true)
 	echo "$name: found in $found of $seeds seeds; $line"
