--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -135,7 +135,7 @@
 	}
 	// A close may have crossed the requests on a connection that had rested: they are sent once
 	// more. So are those that were sent behind the answer with which the mixer closed.
-	if l.used && !l.process.killed() {
+	if l.used && !l.process.shotDown() {
 		c.w.note(rest[0].id, "closed without an answer on a connection that had been used: sent once more")
 		if l = c.dial(); l == nil {
 			return // the front would send it to another mixer
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -45,6 +45,7 @@
 	mu     sync.Mutex
 	told   time.Time   // of SIGTERM
 	shot   time.Time   // of SIGKILL
+	killed bool        // by us
 	struck bool        // killed outright
 	audit  bool        // its last line has come
 	moves  []time.Time // when it got new configurations
@@ -188,7 +189,7 @@
 		p.mu.Unlock()
 		return
 	}
-	p.shot, p.struck = time.Now(), outright
+	p.shot, p.struck, p.killed = time.Now(), outright, true
 	p.mu.Unlock()
 	p.w.note("", "%s is killed", p.name)
 	p.Kill()
@@ -201,11 +202,12 @@
 	return !p.shot.IsZero()
 }
 
-// killed tells whether it was killed outright.
-func (p *process) killed() bool {
+// shotDown tells whether it was killed, outright or when its time was over: what was open then has
+// not crossed a close of its own.
+func (p *process) shotDown() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.struck
+	return p.killed
 }
 
 // mayRefuse tells whether the process may turn away connections: it ends.
