One reading of a request's deadline, one draw of a part of a list, the stand-ins' query body

Cause: read again. The front read Req-Deadline-Ms by the same check in two places; the soak drew servers and mixers by two copies, wrote a query's body that standin.Query makes, and wrapped two calls for nothing. Change: each once; behaviour as before.

--- a/internal/front/platform/pipeline.go
+++ b/internal/front/platform/pipeline.go
@@ -1,7 +1,6 @@
 package platform
 
 import (
-	"strconv"
 	"time"
 
 	"kiteloft/internal/gate"
@@ -72,11 +71,9 @@
 		return
 	}
 	for _, w := range c.behind {
-		ms, err := strconv.ParseInt(w.m.Header.Get("req-deadline-ms"), 10, 64)
-		if err != nil || ms <= 0 || ms > mostDeadlineMS {
-			continue // it is refused as malformed
+		if left, ok := deadline(w.m); ok { // else it is refused as malformed
+			c.open.endBy(w.at + left + lateMost)
 		}
-		c.open.endBy(w.at + time.Duration(ms)*time.Millisecond + lateMost)
 	}
 }
 
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -247,6 +247,12 @@
 	}
 }
 
+// deadline is how long a request's client waits; false: it does not say so as it has to.
+func deadline(m *http1.Message) (time.Duration, bool) {
+	ms, err := strconv.ParseInt(m.Header.Get("req-deadline-ms"), 10, 64)
+	return time.Duration(ms) * time.Millisecond, err == nil && ms > 0 && ms <= mostDeadlineMS
+}
+
 // parse reads a query; a status other than 0 says why it is none.
 func (f *Front) parse(m *http1.Message, path string) (q broker.Query, status int, why string) {
 	name, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
@@ -258,11 +264,11 @@
 	if !front.Word(id) || strings.HasPrefix(id, front.OwnPrefix) {
 		return q, 400, "Req-Id is missing or no word"
 	}
-	ms, err := strconv.ParseInt(m.Header.Get("req-deadline-ms"), 10, 64)
-	if err != nil || ms <= 0 || ms > mostDeadlineMS {
+	left, ok := deadline(m)
+	if !ok {
 		return q, 400, "Req-Deadline-Ms is no time"
 	}
-	q = broker.Query{WireID: id, Class: class, Tenant: front.NoTenant, Left: time.Duration(ms) * time.Millisecond,
+	q = broker.Query{WireID: id, Class: class, Tenant: front.NoTenant, Left: left,
 		Repeat: m.Header.Get("req-retry") == "1", Front: "platform"}
 	if n, ok := f.tenants[m.Header.Get("req-owner")]; ok {
 		q.Tenant = n
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -12,6 +12,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"kiteloft/internal/standin"
 )
 
 // client asks one mixer, as the clients of a zone's front would.
@@ -79,11 +81,7 @@
 }
 
 func (r *request) text() string {
-	var parts []string
-	for _, s := range r.shards {
-		parts = append(parts, fmt.Sprintf(`{"slice":%d,"mass":%g}`, s, 1/float64(len(r.shards))))
-	}
-	body := `{"slices":[` + strings.Join(parts, ",") + `],"filter":"f"}`
+	body := standin.Query{Shards: r.shards}.Body()
 	key := ""
 	if r.class.effect == keyed {
 		key = "Idempotency-Key: k" + r.id + "\r\n"
@@ -108,7 +106,7 @@
 	if p == nil {
 		return nil
 	}
-	conn, err := net.DialTimeout("tcp", p.addr(), dialTime)
+	conn, err := net.DialTimeout("tcp", p.Listen(), dialTime)
 	if err != nil {
 		if !p.mayRefuse() {
 			c.w.broken("refuses", "", "%s takes no connection: %v", p.name, err)
@@ -299,7 +297,7 @@
 	if p == nil {
 		return
 	}
-	conn, err := net.DialTimeout("tcp", p.addr(), dialTime)
+	conn, err := net.DialTimeout("tcp", p.Listen(), dialTime)
 	if err != nil {
 		return
 	}
--- a/internal/soak/play.go
+++ b/internal/soak/play.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"syscall"
@@ -23,8 +22,6 @@
 	faultMost  = 300 * time.Millisecond // for which system calls fail
 )
 
-func sqrt(x float64) float64 { return math.Sqrt(x) }
-
 // player plays one trouble.
 type player struct {
 	*world
@@ -132,7 +129,12 @@
 
 // somePlaces are the mixers' places that the trouble strikes.
 func (p player) somePlaces() []*slot {
-	list := slices.Clone(p.slots)
+	return some(p, p.slots)
+}
+
+// some draws the trouble's part of a list, one at the least.
+func some[T any](p player, all []T) []T {
+	list := slices.Clone(all)
 	p.rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	return list[:max(1, int(p.t.Part*float64(len(list))))]
 }
@@ -145,9 +147,7 @@
 
 // someServers are the servers that the trouble strikes.
 func (p player) someServers() []*server {
-	list := p.all()
-	p.rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	return list[:max(1, int(p.t.Part*float64(len(list))))]
+	return some(p, p.all())
 }
 
 // restart ends a mixer, in order or not, and starts it again.
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -118,8 +118,6 @@
 	return s.process
 }
 
-func (p *process) addr() string { return p.Listen() }
-
 // discoveries are the addresses at which the process may ask.
 func (p *process) discoveries() []string { return p.slot.addresses[:] }
 
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"os"
 	"slices"
@@ -270,7 +271,7 @@
 	if n < 30 {
 		times = 3
 	}
-	return n + times*sqrt(n) + times
+	return n + times*math.Sqrt(n) + times
 }
 
 // settings is the platform's object for the mixers.
