--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -126,6 +126,9 @@
 
 // alive notes a fault if the mixer has ended.
 func (w *world) alive() {
+	if w.mixer == nil {
+		return
+	}
 	select {
 	case err := <-w.mixer.Exit:
 		w.mixer.Exit <- err
