Flight: no status of a node proves that a part never ran

Cause: internal/node/flight took RESOURCE_EXHAUSTED, and UNAVAILABLE with a pushback, for decide.Full, the outcome that proves that a part never ran. gRPC servers give both after the handler has run: here the library refused a message above its limit.

The line "node ended a call without an answer" now says it: status, messages before it, whether it counts as proof.

Change: partOutcome maps no status to proof. HTTP/2's own word is left: REFUSED_STREAM, a GOAWAY below the stream, a call that was not written whole. Probes are read as before. The module treats Full and Failed alike but for the proof.

--- a/internal/node/flight/flight.go
+++ b/internal/node/flight/flight.go
@@ -167,7 +167,7 @@
 	case !given:
 		s.finishFailed(p, decide.Failed)
 	case status.Code != codes.OK:
-		s.finishFailed(p, Outcome(status))
+		s.finishWithStatus(p, status)
 	default:
 		s.finishServed(p)
 	}
@@ -180,19 +180,43 @@
 	}
 }
 
-// Outcome maps a node's status to the module's outcome. Only two statuses prove that the
-// part never ran: Unavailable with a pushback, which is a refusal, and ResourceExhausted,
-// which is a full queue.
-func Outcome(st h2.Status) decide.Outcome {
-	switch {
-	case st.Code == codes.OK:
+// partOutcome maps the status of a part's call to the module's outcome. No status proves that the
+// part never ran: handlers, interceptors and gRPC libraries give each of them after the handler has
+// run, too. RESOURCE_EXHAUSTED is also a message above a limit, and UNAVAILABLE with a pushback only
+// says when to try again. What proves it is HTTP/2's word that the stream was not processed; see
+// h2.Handler.
+func partOutcome(st h2.Status) decide.Outcome {
+	switch st.Code {
+	case codes.OK:
 		return decide.OK
+	case codes.DeadlineExceeded:
+		return decide.TimedOut
+	}
+	return decide.Failed
+}
+
+// probeOutcome maps the status of a probe's call to the module's outcome. An error is an answer,
+// too: the node runs. One that is full has shown no more than that.
+func probeOutcome(st h2.Status) decide.Outcome {
+	switch {
 	case st.Code == codes.Unavailable && st.Pushback > 0, st.Code == codes.ResourceExhausted:
 		return decide.Full
 	case st.Code == codes.DeadlineExceeded:
 		return decide.TimedOut
 	}
-	return decide.Failed
+	return decide.OK
+}
+
+// finishWithStatus ends a part, or a probe, whose call the node ended with an error status.
+func (s *session) finishWithStatus(p *part, status h2.Status) {
+	if p.t == nil {
+		s.finishFailed(p, probeOutcome(status))
+		return
+	}
+	o := partOutcome(status)
+	s.link.LogCallError(p.t, node.CallError{Reason: status.Code.String(), Message: status.Message,
+		AnswerMessages: len(p.messages), NeverRan: o.NeverRan()})
+	s.finishFailed(p, o)
 }
 
 // finishFailed ends a part without an answer, or a probe.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -37,6 +37,8 @@
 	maxSilentLinks       = 3                      // silent connections to one node above which no new one is opened in their place
 	messageStallTimeout  = 100 * time.Millisecond // how long the rest of a message may fail to come
 	probeTimeout         = 500 * time.Millisecond
+	maxLoggedBytes       = 200 // of a node's own words
+	maxCallErrorLines    = 10  // log lines on calls without an answer, per second
 )
 
 // Core is the part of broker.Core that this package uses.
@@ -76,13 +78,15 @@
 
 // Pool holds the connections to all nodes. It implements broker.Nodes.
 type Pool struct {
-	core      Core
-	net       transport.Dialer
-	limits    Limits
-	log       zerolog.Logger
-	Counts    *counts.Set         // nil: nothing is counted
-	protocols map[string]Protocol // by the scheme of the node's address
-	peers     map[string]*peer    // by node id
+	core   Core
+	net    transport.Dialer
+	limits Limits
+	log    zerolog.Logger
+	// callErrorLog is sampled, as a node may end every call with an error.
+	callErrorLog zerolog.Logger
+	Counts       *counts.Set         // nil: nothing is counted
+	protocols    map[string]Protocol // by the scheme of the node's address
+	peers        map[string]*peer    // by node id
 }
 
 // peer is a node and the connections to it.
@@ -144,7 +148,8 @@
 // New returns a Pool without connections. Protocols holds the protocol for each scheme of
 // a node's address; the scheme is "" if the address has none.
 func New(core Core, net transport.Dialer, limits Limits, protocols map[string]Protocol, log zerolog.Logger) *Pool {
-	return &Pool{core: core, net: net, limits: limits, log: log, protocols: protocols, peers: map[string]*peer{}}
+	return &Pool{core: core, net: net, limits: limits, log: log, protocols: protocols, peers: map[string]*peer{},
+		callErrorLog: log.Sample(&zerolog.BurstSampler{Burst: maxCallErrorLines, Period: time.Second})}
 }
 
 // Start starts the periodic sweep of idle connections.
@@ -541,7 +546,22 @@
 
 // LogProtocolError logs a protocol error, found by the node or in what it sent.
 func (l *Link) LogProtocolError(words string) {
-	l.pool.log.Warn().Str("node", l.peer.id).Str("words", words[:min(len(words), 200)]).Msg("protocol error on a node connection")
+	l.pool.log.Warn().Str("node", l.peer.id).Str("words", words[:min(len(words), maxLoggedBytes)]).Msg("protocol error on a node connection")
+}
+
+// CallError describes how a node ended the call of a part without an answer.
+type CallError struct {
+	Reason         string // status or error code
+	Message        string // the node's own words; may be empty
+	AnswerMessages int    // messages of an answer that came before
+	NeverRan       bool   // it is taken as proof that the part did not run
+}
+
+// LogCallError logs how a node ended the call of a part. The lines are sampled.
+func (l *Link) LogCallError(t *Ticket, e CallError) {
+	l.pool.callErrorLog.Info().Str("node", l.peer.id).Str("part", t.ID).Str("reason", e.Reason).
+		Str("words", e.Message[:min(len(e.Message), maxLoggedBytes)]).Int("answer_messages", e.AnswerMessages).
+		Bool("never_ran", e.NeverRan).Msg("node ended a call without an answer")
 }
 
 // ---- for the transport ----
--- a/internal/standin/flight.go
+++ b/internal/standin/flight.go
@@ -16,10 +16,12 @@
 	"github.com/apache/arrow-go/v18/arrow/flight"
 	"github.com/apache/arrow-go/v18/arrow/ipc"
 	"github.com/apache/arrow-go/v18/arrow/memory"
+	"golang.org/x/net/http2"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/peer"
 	"google.golang.org/grpc/status"
 )
 
@@ -47,15 +49,19 @@
 type cuttable struct {
 	net.Listener
 	mu    sync.Mutex
-	conns []net.Conn
+	conns []*streamConn
 }
 
 func (l *cuttable) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
+	plain, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := newStreamConn(plain)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.conns = append(l.conns, c)
-	return c, err
+	return c, nil
 }
 
 func (l *cuttable) cut() {
@@ -66,6 +72,22 @@
 	}
 }
 
+// connOf returns the connection that a call came on.
+func (l *cuttable) connOf(ctx context.Context) (*streamConn, error) {
+	from, ok := peer.FromContext(ctx)
+	if !ok {
+		return nil, errors.New("stand-in: a call without a peer")
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range l.conns {
+		if c.RemoteAddr().String() == from.Addr.String() {
+			return c, nil
+		}
+	}
+	return nil, errors.New("stand-in: a call on an unknown connection")
+}
+
 // DoGet answers one part.
 func (f *flightNode) DoGet(t *flight.Ticket, s flight.FlightService_DoGetServer) error {
 	var tk struct {
@@ -91,13 +113,15 @@
 	case <-s.Context().Done():
 	case <-time.After(do.After):
 	}
-	switch do.End {
-	case 'E':
+	switch {
+	case do.CallEnd != nil:
+		return f.endCall(s, p, do)
+	case do.End == 'E':
 		return status.Error(codes.Internal, "failed")
-	case 'B':
-		s.SetTrailer(metadata.Pairs("grpc-retry-pushback-ms", "50"))
-		return status.Error(codes.Unavailable, "turned away")
-	case 0:
+	case do.End == 'B':
+		do.CallEnd = &CallEnd{By: RefusedStream}
+		return f.endCall(s, p, do)
+	case do.End == 0:
 		<-s.Context().Done()
 		if errors.Is(s.Context().Err(), context.Canceled) {
 			f.n.gaveUp(p.ID)
@@ -116,6 +140,76 @@
 	return w.Close()
 }
 
+// EndBy is what ends a Flight call without an answer.
+type EndBy int
+
+// The ways in which a Flight call ends without an answer.
+const (
+	Status        EndBy = iota // a gRPC status in the trailers
+	RefusedStream              // RST_STREAM with REFUSED_STREAM
+	GoAway                     // a GOAWAY that says that the call's stream was not processed
+)
+
+// CallEnd is how a Flight node ends a call without an answer.
+type CallEnd struct {
+	By       EndBy
+	Code     codes.Code    // of a Status
+	Pushback time.Duration // stated with a Status; 0: none
+	Messages int           // of an answer, sent before the end: the schema first, then the batch
+}
+
+// messageWriter passes on the first messages of an answer.
+type messageWriter struct {
+	stream flight.FlightService_DoGetServer
+	left   int
+}
+
+// Send implements flight.DataStreamWriter.
+func (w *messageWriter) Send(data *flight.FlightData) error {
+	if w.left == 0 {
+		return nil
+	}
+	w.left--
+	return w.stream.Send(data)
+}
+
+// sentWithin is how long grpc-go may take to write the messages of an answer.
+const sentWithin = 5 * time.Second
+
+// endCall ends a call as the reply's CallEnd says.
+func (f *flightNode) endCall(s flight.FlightService_DoGetServer, p Part, do Reply) error {
+	end := do.CallEnd
+	w := flight.NewRecordWriter(&messageWriter{s, end.Messages}, ipc.WithSchema(rowSchema))
+	if err := w.Write(rows(p.Shard, do.Value)); err != nil {
+		return err
+	}
+	if end.By == Status {
+		if end.Pushback > 0 {
+			s.SetTrailer(metadata.Pairs("grpc-retry-pushback-ms", strconv.FormatInt(end.Pushback.Milliseconds(), 10)))
+		}
+		return status.Error(end.Code, "ended by the stand-in")
+	}
+	conn, err := f.conns.connOf(s.Context())
+	if err != nil {
+		return err
+	}
+	stream := conn.streamOf(p.ID)
+	for until := time.Now().Add(sentWithin); conn.dataFrames(stream) < end.Messages && time.Now().Before(until); {
+		time.Sleep(time.Millisecond)
+	}
+	err = conn.insert(func(f *http2.Framer) error {
+		if end.By == GoAway {
+			return f.WriteGoAway(stream-min(stream, 2), http2.ErrCodeNo, nil) // the streams before it were processed
+		}
+		return f.WriteRSTStream(stream, http2.ErrCodeRefusedStream)
+	})
+	if err != nil {
+		return err
+	}
+	<-s.Context().Done() // grpc-go does not know that the stream has ended
+	return s.Context().Err()
+}
+
 var rowSchema = arrow.NewSchema([]arrow.Field{{Name: "slice", Type: arrow.PrimitiveTypes.Int32},
 	{Name: "body", Type: arrow.BinaryTypes.Binary}}, nil)
 
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -36,6 +36,8 @@
 	Score int64
 	Value string
 	After time.Duration
+	// CallEnd, if it is set, says how the call ends in place of End; Flight only.
+	CallEnd *CallEnd
 	// Later, if it is set, is called at once with the way to answer, and stands for all
 	// the rest; frames only.
 	Later func(answer func(Reply))
