Flight: a refusal under an answer that has begun is no proof

What callers would see: a part of a class that may not be repeated runs four times and its client is told that asking again is harmless, where a node ends the stream by REFUSED_STREAM, or by a GOAWAY below it, after the first messages of its answer.

Cause: internal/h2 reported such a stream as never processed by the code or the number alone, also where a response had come on it, which shows that it was processed.

Change: a stream remembers whether headers or data have come from the peer, and is reported as never processed only if none have. The log line on calls without an answer covers these ends, too.

Evidence: before the fix TestARefusalUnderAnAnswerIsNoProof failed in its 4 cases with messages (4 runs, "refused"), and TestAStreamWithAResponseIsNeverReportedAsUnprocessed in 4 of 6 combinations; after it all pass, and the two cases without a message still are sent elsewhere.

--- a/cmd/kiteloft/never_ran_test.go
+++ b/cmd/kiteloft/never_ran_test.go
@@ -55,3 +55,23 @@
 		t.Errorf("client got %+v, want a failure", r)
 	}
 }
+
+// TestARefusalUnderAnAnswerIsNoProof guards against a part that may not be repeated running again
+// because its node took back, by HTTP/2, a stream on which its answer had begun.
+func TestARefusalUnderAnAnswerIsNoProof(t *testing.T) {
+	for name, by := range map[string]standin.EndBy{"REFUSED_STREAM": standin.RefusedStream, "GOAWAY": standin.GoAway} {
+		for _, messages := range []int{1, 2} {
+			t.Run(fmt.Sprintf("%s after %d messages", name, messages), func(t *testing.T) {
+				t.Parallel()
+				expectOneRun(t, standin.CallEnd{By: by, Messages: messages})
+			})
+		}
+		t.Run(name+" before any message is proof", func(t *testing.T) {
+			t.Parallel()
+			r, runs := askOnceAt(t, standin.CallEnd{By: by})
+			if runs < 2 || r.Kind != "refused" {
+				t.Errorf("%d attempts, client got %+v, want at least 2 and a refusal", runs, r)
+			}
+		})
+	}
+}
--- a/internal/h2/conn.go
+++ b/internal/h2/conn.go
@@ -37,7 +37,7 @@
 	Data(s *Stream, b []byte, end bool)
 	// Closed reports that the stream was ended with an error, by the peer or because the peer
 	// broke the protocol or a limit. NeverRan says that, by HTTP/2, the peer has not processed
-	// the stream.
+	// the stream: it says so, and no frame of a response contradicts it.
 	Closed(s *Stream, code http2.ErrCode, neverRan bool)
 }
 
@@ -80,6 +80,7 @@
 	end           bool // the last byte of pending ends this side
 	trailer       []hpack.HeaderField
 	localEnded    bool  // this side has ended
+	peerBegun     bool  // headers or data have come from the peer
 	peerEnded     bool  // the peer's side has ended
 	endOffset     int64 // in the connection, of the last byte of this side; 0: not sent yet
 	closed        bool  // the stream is no longer in its connection
@@ -330,7 +331,7 @@
 		c.h.Closed(s, http2.ErrCodeEnhanceYourCalm, false)
 		return nil
 	}
-	s.peerEnded = f.StreamEnded()
+	s.peerBegun, s.peerEnded = true, f.StreamEnded()
 	c.h.Headers(s, f.Fields, s.peerEnded)
 	s.removeIfEnded()
 	return nil
@@ -363,7 +364,7 @@
 	if s.receiveWindow -= n; s.receiveWindow < 0 {
 		return connectionError{http2.ErrCodeFlowControl, "DATA exceeds the receive window"}
 	}
-	s.peerEnded = f.StreamEnded()
+	s.peerBegun, s.peerEnded = true, f.StreamEnded()
 	c.h.Data(s, f.Data(), s.peerEnded)
 	if s.closed {
 		return nil
@@ -406,7 +407,7 @@
 	}
 	if s := c.streams[f.StreamID]; s != nil {
 		s.remove()
-		c.h.Closed(s, f.ErrCode, f.ErrCode == http2.ErrCodeRefusedStream)
+		c.h.Closed(s, f.ErrCode, f.ErrCode == http2.ErrCodeRefusedStream && !s.peerBegun)
 	}
 	return nil
 }
@@ -420,7 +421,7 @@
 	for _, s := range c.sortedStreams() {
 		if s.ID > f.LastStreamID {
 			s.remove()
-			c.h.Closed(s, f.ErrCode, true)
+			c.h.Closed(s, f.ErrCode, !s.peerBegun)
 		}
 	}
 }
--- a/internal/h2/h2_test.go
+++ b/internal/h2/h2_test.go
@@ -125,6 +125,42 @@
 	}
 }
 
+// TestAStreamWithAResponseIsNeverReportedAsUnprocessed guards against a request that ran being sent
+// again because the peer refused its stream, or went away below it, under the response.
+func TestAStreamWithAResponseIsNeverReportedAsUnprocessed(t *testing.T) {
+	ends := map[string]func(f *http2.Framer) error{
+		"REFUSED_STREAM": func(f *http2.Framer) error { return f.WriteRSTStream(1, http2.ErrCodeRefusedStream) },
+		"GOAWAY":         func(f *http2.Framer) error { return f.WriteGoAway(0, http2.ErrCodeNo, nil) },
+	}
+	responses := map[string]func(s *Stream){
+		"nothing": func(*Stream) {},
+		"headers": func(s *Stream) { s.Headers([]hpack.HeaderField{{Name: ":status", Value: "200"}}, false) },
+		"data": func(s *Stream) {
+			s.Headers([]hpack.HeaderField{{Name: ":status", Value: "200"}}, false)
+			s.Write([]byte("x"), false)
+		},
+	}
+	for end, writeEnd := range ends {
+		for response, respond := range responses {
+			client, server := newEndpoint(false), newEndpoint(true)
+			client.conn.Open(request, nil)
+			exchange(t, client, server, 100)
+			respond(server.streams[0])
+			exchange(t, client, server, 100)
+			var frame bytes.Buffer
+			if err := writeEnd(http2.NewFramer(&frame, nil)); err != nil {
+				t.Fatal(err)
+			}
+			if err := client.conn.Receive(frame.Bytes()); err != nil {
+				t.Fatal(err)
+			}
+			if _, closed := client.closed[1]; !closed || client.neverRan[1] != (response == "nothing") {
+				t.Errorf("%s after %s: closed %v, never ran %v", end, response, closed, client.neverRan[1])
+			}
+		}
+	}
+}
+
 func TestProtocolViolationsEndTheConnection(t *testing.T) {
 	frame := func(write func(f *http2.Framer) error) string {
 		var b bytes.Buffer
--- a/internal/node/flight/flight.go
+++ b/internal/node/flight/flight.go
@@ -288,12 +288,17 @@
 }
 
 // Closed implements h2.Handler.
-func (s streamHandler) Closed(st *h2.Stream, _ http2.ErrCode, neverRan bool) {
-	if p, ok := st.User.(*part); ok {
-		if neverRan {
-			s.finishFailed(p, decide.Full)
-		} else {
-			s.finishFailed(p, decide.Failed)
-		}
+func (s streamHandler) Closed(st *h2.Stream, code http2.ErrCode, neverRan bool) {
+	p, ok := st.User.(*part)
+	if !ok || p.ended {
+		return
 	}
+	o := decide.Failed
+	if neverRan {
+		o = decide.Full
+	}
+	if p.t != nil {
+		s.link.LogCallError(p.t, node.CallError{Reason: code.String(), AnswerMessages: len(p.messages), NeverRan: neverRan})
+	}
+	s.finishFailed(p, o)
 }
