Frames: a refusal that may be a second copy proves nothing for the attempt that is out

What callers would see: a part of a class that may not be repeated runs at two nodes, and its client is told that asking again is harmless.

Cause: a result names the part, not the attempt. A node may send an answer twice. The second copy of a refusal, crossing the part's next attempt at that node on that connection, was taken for this attempt's answer, as proof that it never ran, while the node ran it.

Change: a refusal on a connection that has brought a result for the same id before counts as perhaps run. An answer to a part that was given up is remembered the same way; its second copy closed the connection with all that was out on it.

Evidence: TestARefusalThatCameTwiceIsNoProofForTheNextAttempt failed 3 of 3 runs before (2 runs of the part, client refused) and passes 3 of 3 after; the tests of spoilt and doubled answers and TestRules pass.

--- a/cmd/kiteloft/never_ran_test.go
+++ b/cmd/kiteloft/never_ran_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -75,3 +76,37 @@
 		})
 	}
 }
+
+// TestARefusalThatCameTwiceIsNoProofForTheNextAttempt guards against a part that may not be repeated
+// running twice: a second copy of a node's refusal arrives after the part was sent to the node again,
+// which runs it this time, and is taken for the answer to that attempt.
+func TestARefusalThatCameTwiceIsNoProofForTheNextAttempt(t *testing.T) {
+	var mu sync.Mutex
+	attemptsByNode, runs := map[string]int{}, 0
+	run := func() {
+		mu.Lock()
+		defer mu.Unlock()
+		runs++
+	}
+	b := start(t, platformWire{}, func(p part) reply {
+		mu.Lock()
+		defer mu.Unlock()
+		if attemptsByNode[p.Node]++; attemptsByNode[p.Node] == 1 {
+			return reply{End: 'B'}
+		}
+		return reply{Later: func(answer func(reply)) {
+			answer(reply{End: 'B'}) // of the first attempt
+			run()
+			time.AfterFunc(300*time.Millisecond, func() { answer(sound(p)) })
+		}}
+	})
+	r := platformWire{}.ask(t, b, query{Class: "once", Shards: []int{1}, Deadline: 3 * time.Second})
+	mu.Lock()
+	defer mu.Unlock()
+	if runs != 1 {
+		t.Errorf("the part ran %d times, want once", runs)
+	}
+	if r.Kind == "refused" {
+		t.Errorf("client got %+v, though the part ran", r)
+	}
+}
--- a/internal/node/frames.go
+++ b/internal/node/frames.go
@@ -100,7 +100,7 @@
 				return err
 			}
 			if t != nil {
-				s.link.Finish(t, outcome(r.Status), r.Score, r.Value)
+				s.link.Finish(t, s.partOutcome(t, r.Status), r.Score, r.Value)
 			}
 		case frames.Probe:
 			o := decide.Failed
@@ -116,9 +116,21 @@
 	}
 }
 
-// outcome maps the end letter of a result to the module's outcome.
-func outcome(end byte) decide.Outcome {
-	switch end {
+// partOutcome maps the status of a part's result to the module's outcome. A refusal proves nothing
+// if the connection has brought a result for the same id before, that of an earlier attempt: it may
+// be a second copy of that one.
+func (s *frameSession) partOutcome(t *Ticket, status byte) decide.Outcome {
+	o := outcome(status)
+	if o.NeverRan() && s.link.HasAnswered(t.ID) {
+		s.link.LogCallError(t, CallError{Reason: "refused, after an earlier result for this id"})
+		return decide.Failed
+	}
+	return o
+}
+
+// outcome maps the status of a result to the module's outcome.
+func outcome(status byte) decide.Outcome {
+	switch status {
 	case 'S':
 		return decide.OK
 	case 'B':
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -514,21 +514,31 @@
 	}
 	if _, ok := l.cancelled[id]; ok {
 		delete(l.cancelled, id)
+		l.answered[id] = l.pool.core.Now()
 		l.unreadCancels.recordAnswer(id)
 		return nil, nil
 	}
-	if _, ok := l.answered[id]; ok {
+	if l.HasAnswered(id) {
 		l.retired = true
 		return nil, nil
 	}
 	return nil, fmt.Errorf("answer for part %.80q, which is not outstanding", id)
 }
 
+// HasAnswered reports whether an answer for the id has come before, to an earlier attempt that was
+// sent on this connection.
+func (l *Link) HasAnswered(id string) bool {
+	_, ok := l.answered[id]
+	return ok
+}
+
 // Finish ends a ticket with the node's answer. It does nothing if the ticket has ended.
 func (l *Link) Finish(t *Ticket, o decide.Outcome, score int64, value []byte) {
 	if l.outstanding[t.ID] == t {
 		delete(l.outstanding, t.ID)
-		l.answered[t.ID] = l.pool.core.Now()
+		if t.sent {
+			l.answered[t.ID] = l.pool.core.Now()
+		}
 		l.unreadCancels.recordRead(t.seq)
 		l.pool.core.Ended(t.Attempt, o, score, value)
 	}
