Frames: a refusal that carries a value is a spoilt answer, not a proof

What callers would see: a part of a class that may not be repeated is sent on, up to four times, after a result with the status B and a value, and its client is told that asking again is harmless.

Cause: frames.ParseReply did not look at the value.

Change: such a result is malformed; its connection is closed as for other spoilt answers.

Evidence: the new row of TestSpoiltAnswers failed before (5 attempts, want 3; the connection stayed open) and passes, as do TestReplies with its new row, TestRules and the other tests of refusals.

--- a/cmd/kiteloft/spoilt_test.go
+++ b/cmd/kiteloft/spoilt_test.go
@@ -37,6 +37,7 @@
 		{"a line without end", frame('5', "ID S 1 "+strings.Repeat("-", 500))},
 		{"a line that is too short", frame('5', "ID S\nv1")},
 		{"a score that is no number", frame('5', "ID S one -\nv1")},
+		{"a refusal with a value", frame('5', "ID B 0 -\nv1")},
 		{"a value that is no text", frame('5', "ID S 1 -\n\xff\xfe")},
 	}
 	for _, tt := range tests {
--- a/internal/frames/frames.go
+++ b/internal/frames/frames.go
@@ -101,10 +101,17 @@
 	return b
 }
 
+// The statuses of a Reply.
+const (
+	Served  = 'S'
+	Failed  = 'E' // it may have run
+	Refused = 'B' // it never ran
+)
+
 // Reply is a stock node's result for a part, the payload of a Result frame.
 type Reply struct {
 	ID     string
-	Status byte // S: served, E: failed, B: the node is full
+	Status byte
 	Score  int64
 	Report string // "" if there is none
 	Value  []byte
@@ -121,8 +128,12 @@
 		return Reply{}, fmt.Errorf("result line %q: want 4 fields with an id and a status of one byte", line)
 	}
 	r := Reply{ID: string(f[0]), Status: f[1][0], Value: value}
-	if r.Status != 'S' && r.Status != 'E' && r.Status != 'B' {
+	switch {
+	case r.Status != Served && r.Status != Failed && r.Status != Refused:
 		return Reply{}, fmt.Errorf("result line %q: unknown status", line)
+	case r.Status == Refused && len(value) > 0:
+		// The status says that the part never ran, the value that it did, or the length is wrong.
+		return Reply{}, fmt.Errorf("result line %q: a refusal with a value of %d bytes", line, len(value))
 	}
 	if s := string(f[3]); s != "-" {
 		r.Report = s
--- a/internal/frames/frames_test.go
+++ b/internal/frames/frames_test.go
@@ -55,6 +55,7 @@
 		{"9b1f.3 B - 1,2\n", Reply{ID: "9b1f.3", Status: 'B', Report: "1,2", Value: []byte{}}, true},
 		{"9b1f.3 S 0 -\na\nb", Reply{ID: "9b1f.3", Status: 'S', Value: []byte("a\nb")}, true},
 		{text: "9b1f.3 S 0 -"}, {text: "9b1f.3 Q 0 -\n"}, {text: "9b1f.3 S x -\n"}, {text: "9b1f.3 S 0\n"}, {text: " S 0 -\n"},
+		{text: "9b1f.3 B 0 -\nv"},
 	}
 	for _, tt := range tests {
 		got, err := ParseReply([]byte(tt.text))
--- a/internal/node/frames.go
+++ b/internal/node/frames.go
@@ -131,9 +131,9 @@
 // outcome maps the status of a result to the module's outcome.
 func outcome(status byte) decide.Outcome {
 	switch status {
-	case 'S':
+	case frames.Served:
 		return decide.OK
-	case 'B':
+	case frames.Refused:
 		return decide.Full
 	}
 	return decide.Failed
