Transport: no end of a connection proves anything of an attempt that was written whole

Cause: the table of ends called an attempt never run by the end alone for five ends that only a dial can have, also where the attempt had been written whole. No connection can end so today; the table promised what only its callers kept.

Change: what was written whole may have run, whatever the end; what was not never ran. The test of the table now asks that of every end, which five failed before.

Measured: go test of transport and node.

--- a/internal/transport/end.go
+++ b/internal/transport/end.go
@@ -39,18 +39,17 @@
 }
 
 // Outcome returns the outcome of an attempt that was under way on a connection when it ended with
-// e. Written says whether the last byte of the attempt's frame had been written; if it had not,
-// the attempt never ran, however the connection ended.
+// e. Written says whether the last byte of the attempt's frame had been written. Only an attempt
+// that was not written whole is proved never to have run, however the connection ended.
 func Outcome(e End, written bool) decide.Outcome {
 	switch {
-	case e == NoDescriptor, e == NotDialed, e == LocalFailure:
-		return decide.NotSent // a local failure, not evidence about the node
-	case !written, e == Refused, e == ConnectTimeout:
-		return decide.ConnectFailed
-	case e == BadInput, e == PeerFlooded:
+	case written && (e == BadInput || e == PeerFlooded):
 		// The node sent a malformed answer: the attempt may have run, and the network is not to blame.
 		return decide.Failed
-	default:
+	case written:
 		return decide.Reset
+	case e == NoDescriptor, e == NotDialed, e == LocalFailure:
+		return decide.NotSent // a local failure, not evidence about the node
 	}
+	return decide.ConnectFailed
 }
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -93,22 +93,21 @@
 	return peer.(*net.TCPConn)
 }
 
+// TestOutcomeOfEveryEnd guards against an attempt that may have run being taken for one that never
+// did: once it was written whole, no end of its connection proves that.
 func TestOutcomeOfEveryEnd(t *testing.T) {
 	for e := Open + 1; int(e) < len(endNames); e++ {
-		unsent, want := decide.ConnectFailed, decide.Reset
+		unsent, sent := decide.ConnectFailed, decide.Reset
 		switch e {
 		case NoDescriptor, NotDialed, LocalFailure:
-			unsent, want = decide.NotSent, decide.NotSent
-		case Refused, ConnectTimeout:
-			want = decide.ConnectFailed
+			unsent = decide.NotSent
+		case BadInput, PeerFlooded:
+			sent = decide.Failed
 		}
 		if got := Outcome(e, false); got != unsent || !got.NeverRan() {
 			t.Errorf("%v before the last byte: %v", e, got)
 		}
-		if e == BadInput || e == PeerFlooded {
-			want = decide.Failed
-		}
-		if got := Outcome(e, true); got != want {
+		if got := Outcome(e, true); got != sent || got.NeverRan() {
 			t.Errorf("%v after the last byte: %v", e, got)
 		}
 		if e.String() == "unknown" {
