Stand-ins: mixers that are killed and started again listen at ports that nobody is given

Cause: the rig let the system choose the port, from the range (32768 to 60999) from which it also takes ports for outgoing connections and for any other socket that asks for one; the test itself opens new nodes while the mixer is dead. Traced on the code before: with an outgoing connection from that port the restart ends with the same line, and also after the connection has closed (TIME_WAIT, a minute). Links between mixers had the same fault, hidden by a wait of 10 s.

Change: standin.FixedAddress takes ports outside the system's range. The wait of the links stays, as a process that is being started may hold a closed listener for a moment.

--- a/cmd/kiteloft/fleet_test.go
+++ b/cmd/kiteloft/fleet_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -533,3 +534,25 @@
 		}
 	}
 }
+
+// TestAKilledMixersAddressIsNotGivenAway guards against a restart that fails because the system has
+// given the mixer's port to another socket meanwhile, as in a run of TestTheLeadersZoneGoesDark.
+func TestAKilledMixersAddressIsNotGivenAway(t *testing.T) {
+	t.Parallel()
+	first, last, err := standin.SystemPorts()
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := newFlock(t, 2, false)
+	before := f.Mixer(1).Fleet()
+	if port := int(netip.MustParseAddrPort(before).Port()); port >= first && port <= last {
+		t.Errorf("the mixer listens at %s, among the ports %d to %d that the system gives away", before, first, last)
+	}
+	f.lose(1)
+	if err := f.Start(1); err != nil {
+		t.Fatal(err)
+	}
+	if after := f.Mixer(1).Fleet(); after != before {
+		t.Errorf("the mixer listens at %s after a restart, at %s before", after, before)
+	}
+}
--- a/internal/standin/crew.go
+++ b/internal/standin/crew.go
@@ -43,7 +43,7 @@
 	s     CrewSetup
 	keys  link.Keys
 	wires map[[2]int]*Wire
-	at    []string // where each listens for the others, once it has
+	at    []string // where each listens for the others, also after a restart
 	began time.Time
 
 	mu     sync.Mutex
@@ -61,6 +61,10 @@
 	c := &Crew{s: s, keys: link.Keys{link.NewKey([]byte(crewKey))}, wires: map[[2]int]*Wire{}, at: make([]string, s.Mixers),
 		mixers: make([]*Mixer, s.Mixers), alive: make([]bool, s.Mixers), began: time.Now()}
 	for i := range s.Mixers {
+		var err error
+		if c.at[i], err = FixedAddress(); err != nil {
+			return c, err
+		}
 		for j := range s.Mixers {
 			if i == j {
 				continue
--- a/internal/standin/wire.go
+++ b/internal/standin/wire.go
@@ -44,20 +44,10 @@
 func NewWire(from, to string, seed uint64) (*Wire, error) {
 	w := &Wire{From: from, To: to, rng: rand.New(rand.NewPCG(seed, 5)), conns: map[net.Conn]bool{}}
 	var err error
-	for range 20 { // a port that is free for both
-		if w.tcp, err = listen(); err != nil {
-			return nil, err
-		}
-		w.host = w.tcp.Addr().String()
-		at := w.tcp.Addr().(*net.TCPAddr)
-		if w.udp, err = net.ListenUDP("udp", &net.UDPAddr{IP: at.IP, Port: at.Port}); err == nil {
-			break
-		}
-		_ = w.tcp.Close() // another port is tried
-	}
-	if err != nil {
-		return nil, fmt.Errorf("stand-in: %w", err)
+	if w.tcp, w.udp, err = listenFixed(); err != nil { // Refuse closes it and opens it again
+		return nil, err
 	}
+	w.host = w.tcp.Addr().String()
 	if w.out, err = net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)}); err != nil {
 		return nil, fmt.Errorf("stand-in: %w", err)
 	}
@@ -231,8 +221,8 @@
 	<-done
 }
 
-// portTime is how long a port may be somebody else's.
-const portTime = 10 * time.Second
+// listenRetryTime is how long the address of a closed listener may be taken.
+const listenRetryTime = 10 * time.Second
 
 // Refuse has connections refused, as a machine does whose process has died, or not.
 func (w *Wire) Refuse(on bool) error {
@@ -246,8 +236,8 @@
 		return w.tcp.Close()
 	}
 	ln, err := net.Listen("tcp", w.host)
-	// While nobody listened there, somebody's connection may have been given the port.
-	for until := time.Now().Add(portTime); errors.Is(err, syscall.EADDRINUSE) && time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
+	// A process that is being started holds the closed listener until it runs its program.
+	for until := time.Now().Add(listenRetryTime); errors.Is(err, syscall.EADDRINUSE) && time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
 		ln, err = net.Listen("tcp", w.host)
 	}
 	if err != nil {
