--- a/cmd/kiteloft/main.go
+++ b/cmd/kiteloft/main.go
@@ -20,10 +20,10 @@
 	"kiteloft/internal/broker"
 	"kiteloft/internal/config"
 	"kiteloft/internal/discovery"
+	"kiteloft/internal/front"
 	"kiteloft/internal/front/flight"
 	"kiteloft/internal/front/platform"
 	"kiteloft/internal/ipfix"
-	"kiteloft/internal/logging"
 	"kiteloft/internal/node"
 	nodeflight "kiteloft/internal/node/flight"
 	"kiteloft/internal/transport"
@@ -108,7 +108,7 @@
 	log = log.With().Str("mixer", cfg.Name).Logger()
 	// The poller says something of each accept that fails, thousands of times a second: our own
 	// lines would be dropped for it.
-	transport.SetLogOutput(logging.Sampled(log.With().Str("from", "netpoll").Logger()))
+	transport.SetLogOutput(front.Sampled(log.With().Str("from", "netpoll").Logger()))
 	if err := serve(cfg, getenv, sig, log); err != nil {
 		log.Error().Err(err).Msg("mixer failed")
 		return 1
--- a/internal/fleet/accord/accord_test.go
+++ b/internal/fleet/accord/accord_test.go
@@ -57,12 +57,12 @@
 		w.enforceFirstVersion()
 		for i := range markers {
 			w.injectFault()
-			proposed, agreed := w.proposeAtRandom(i)
-			if proposed {
+			at := w.rng.IntN(len(w.processes))
+			if w.processes[at].participant != nil && w.processes[at].pausedUntil <= w.now {
 				tried++
-			}
-			if agreed {
-				agreedIn++
+				if _, ok := w.propose(at, i); ok {
+					agreedIn++
+				}
 			}
 			w.run(time.Duration(w.rng.IntN(3000)) * ms)
 			if i%6 == 5 {
@@ -98,7 +98,9 @@
 			w.named = true
 			for i := range markers - 2 {
 				w.injectFault()
-				w.proposeAtRandom(i)
+				if at := w.rng.IntN(len(w.processes)); w.processes[at].participant != nil && w.processes[at].pausedUntil <= w.now {
+					w.propose(at, i)
+				}
 				w.run(2 * time.Second)
 			}
 			random := w.longestConflict
@@ -114,16 +116,6 @@
 	}
 }
 
-// proposeAtRandom proposes the document of a marker at a random mixer, if that one runs.
-func (w *cluster) proposeAtRandom(marker int) (proposed, agreed bool) {
-	at := w.rng.IntN(len(w.processes))
-	if p := w.processes[at]; p.participant == nil || p.pausedUntil > w.now {
-		return false, false
-	}
-	_, agreed = w.propose(at, marker)
-	return true, agreed
-}
-
 // cutOffDuringChange ends all faults, has all mixers follow the document of one marker, cuts off one
 // that does not vote, and has the others follow the document of the next marker for as long as given.
 // It returns for how long two markers were allowed at once.
--- a/internal/front/flight/flight.go
+++ b/internal/front/flight/flight.go
@@ -29,7 +29,6 @@
 	"kiteloft/internal/front"
 	"kiteloft/internal/gate"
 	"kiteloft/internal/h2"
-	"kiteloft/internal/logging"
 	"kiteloft/internal/tracing"
 	"kiteloft/internal/transport"
 )
@@ -64,7 +63,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Front{core: core, classes: front.ClassIndexes(classes), classSettings: classes, limit: limit, log: log, malformedLog: logging.Sampled(log), schema: schema,
+	return &Front{core: core, classes: front.ClassIndexes(classes), classSettings: classes, limit: limit, log: log, malformedLog: front.Sampled(log), schema: schema,
 		rng: rand.New(rand.NewPCG(seed, 1)), clients: map[*client]struct{}{}}, nil
 }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -9,6 +9,7 @@
 	"time"
 
 	jsoniter "github.com/json-iterator/go"
+	"github.com/rs/zerolog"
 
 	"kiteloft/decide"
 	"kiteloft/internal/broker"
@@ -153,6 +154,12 @@
 	return nil
 }
 
+// Sampled returns a logger that drops lines above 10 per second, for log lines that clients
+// can cause as often as they like.
+func Sampled(log zerolog.Logger) zerolog.Logger {
+	return log.Sample(&zerolog.BurstSampler{Burst: 10, Period: time.Second})
+}
+
 // ValidIdentifier reports whether s can be sent in a line of a frame: 1 to 128 printable ASCII
 // characters without spaces.
 func ValidIdentifier(s string) bool {
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -15,7 +15,6 @@
 	"kiteloft/internal/front"
 	"kiteloft/internal/gate"
 	"kiteloft/internal/http1"
-	"kiteloft/internal/logging"
 	"kiteloft/internal/tracing"
 	"kiteloft/internal/transport"
 )
@@ -60,7 +59,7 @@
 
 // New returns a Front for the classes and tenants. Readiness checks fail until Ready is called.
 func New(core front.Core, classes []decide.Class, tenants []decide.Tenant, limit front.ConnectionLimit, log zerolog.Logger) *Front {
-	return &Front{core: core, limit: limit, classes: front.ClassIndexes(classes), tenants: front.TenantIndexes(tenants), classSettings: classes, sampledLog: logging.Sampled(log), clients: map[*client]struct{}{}}
+	return &Front{core: core, limit: limit, classes: front.ClassIndexes(classes), tenants: front.TenantIndexes(tenants), classSettings: classes, sampledLog: front.Sampled(log), clients: map[*client]struct{}{}}
 }
 
 // Ready makes readiness checks succeed and starts the periodic check of connections for
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,7 +5,6 @@
 package node
 
 import (
-	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -15,7 +14,6 @@
 	"kiteloft/decide"
 	"kiteloft/internal/broker"
 	"kiteloft/internal/counts"
-	"kiteloft/internal/logging"
 	"kiteloft/internal/transport"
 )
 
@@ -36,6 +34,7 @@
 	messageStallTimeout  = 100 * time.Millisecond // how long the rest of a message may fail to come
 	probeTimeout         = 500 * time.Millisecond
 	maxLoggedBytes       = 200 // of a node's own words
+	maxCallErrorLines    = 10  // log lines on calls without an answer, per second
 )
 
 // Core is the part of broker.Core that this package uses.
@@ -97,7 +96,7 @@
 // a node's address; the scheme is "" if the address has none.
 func New(core Core, net transport.Dialer, limits Limits, protocols map[string]Protocol, log zerolog.Logger) *Pool {
 	return &Pool{core: core, net: net, limits: limits, log: log, protocols: protocols, peers: map[string]*peer{},
-		callErrorLog: logging.Sampled(log)}
+		callErrorLog: log.Sample(&zerolog.BurstSampler{Burst: maxCallErrorLines, Period: time.Second})}
 }
 
 // Start starts the periodic sweep of idle connections.
@@ -107,13 +106,20 @@
 // connection that the machine has just closed would end as a reset.
 func (pool *Pool) sweep() {
 	now := pool.core.Now()
-	tooOld := func(_ string, at time.Duration) bool { return now-at > lateAnswerRetention }
 	open := 0
 	for id, p := range pool.peers {
 		open += len(p.links)
 		for _, l := range slices.Clone(p.links) {
-			maps.DeleteFunc(l.cancelled, tooOld)
-			maps.DeleteFunc(l.answered, tooOld)
+			for id, at := range l.cancelled {
+				if now-at > lateAnswerRetention {
+					delete(l.cancelled, id)
+				}
+			}
+			for id, at := range l.answered {
+				if now-at > lateAnswerRetention {
+					delete(l.answered, id)
+				}
+			}
 			if l.conn != nil && l.isIdle() && (!p.listed || l.retired || l.isSilent() || l.addr != p.addr || !l.farFromIdleLimit()) {
 				l.conn.Close(transport.LocalIdle)
 			}
--- a/internal/standin/flight.go
+++ b/internal/standin/flight.go
@@ -113,14 +113,14 @@
 	case <-s.Context().Done():
 	case <-time.After(do.After):
 	}
-	if do.CallEnd == nil && do.End == 'B' {
-		do.CallEnd = &CallEnd{By: RefusedStream}
-	}
 	switch {
 	case do.CallEnd != nil:
 		return f.endCall(s, p, do)
 	case do.End == 'E':
 		return status.Error(codes.Internal, "failed")
+	case do.End == 'B':
+		do.CallEnd = &CallEnd{By: RefusedStream}
+		return f.endCall(s, p, do)
 	case do.End == 0:
 		<-s.Context().Done()
 		if errors.Is(s.Context().Err(), context.Canceled) {
