Build the call-fault stand-in on arm64, too

arm64 has no epoll_wait, so go vet ./... and the build of the deploy file stopped at internal/standin/callfaults.

--- a/internal/standin/callfaults/callfaults.go
+++ b/internal/standin/callfaults/callfaults.go
@@ -30,13 +30,12 @@
 	fileTimeout      = 10 * time.Second
 )
 
-// System calls that Process.Fail can make fail.
+// System calls that Process.Fail can make fail. Wait depends on the architecture.
 const (
 	Accept  = unix.SYS_ACCEPT4
 	Connect = unix.SYS_CONNECT
 	Socket  = unix.SYS_SOCKET
 	Send    = unix.SYS_SENDMSG
-	Wait    = unix.SYS_EPOLL_WAIT
 	Sync    = unix.SYS_FSYNC
 )
 
