--- a/review/7/main.go
+++ b/review/7/main.go
@@ -1,17 +1,10 @@
-// Command 7 has a platform client ask a mixer whose stock nodes speak Arrow Flight. It checks that
-// the values in the client's answers are those that the nodes made.
+// Command 7 has a fleet of mixers share what discovery tells, and a stock node leave by a whole
+// list that does not name it. It checks the rule on drains at the stock nodes.
 package main
 
 import (
-	"bytes"
-	"encoding/hex"
-	"encoding/json"
 	"fmt"
-	"io"
 	"math/rand/v2"
-	"net/http"
-	"strings"
-	"sync"
 	"time"
 
 	"kiteloft/internal/standin"
@@ -19,11 +12,17 @@
 )
 
 const (
-	nodes   = 4
-	queries = 100
+	mixers    = 4
+	nodes     = 8
+	settle    = 30 * time.Second       // for the fleet to agree on who watches
+	askWithin = 10 * time.Second       // rules.ask_within of the settings
+	grace     = 2 * time.Second        // rules.drain_grace
+	slack     = 50 * time.Millisecond  // on sockets every time limit is so much longer
+	watched   = 30 * time.Second       // from the node's leaving to the end
+	pace      = 100 * time.Millisecond // between two queries to one mixer
 )
 
-const settings = `{"balancers":1,"zone":0,"tick":0.005,"discovery":"ask","failure_domains":["zona-12","mixco"],
+const settings = `{"balancers":4,"zone":0,"tick":0.005,"discovery":"ask","failure_domains":["zona-12","mixco"],
 "caps":{"cancel":true,"conn_idle":30,"connect_timeout":0.25,"max_attempts":4,"max_open":210,"max_retry_after":2,"probes":true,
  "retry_after":true,"second_copies":true,"streams_per_conn":32},
 "classes":[{"name":"pallet-lookup","semantics":"repeatable","aim":1.5,"deadline":4,"worth":1,"late_value":0.1}],
@@ -32,91 +31,73 @@
 
 func main() {
 	r := rig.New("review/7")
-	var mu sync.Mutex
-	made := map[string]map[string]bool{} // values by the part's id
-	noise := 0
+	var list []*standin.Node
 	var members []standin.Member
 	for i := range nodes {
 		n := standin.NewNode(fmt.Sprintf("s-%d", i), func(p standin.Part) standin.Reply {
-			value := fmt.Sprintf("%016x", rand.Uint64())
-			mu.Lock()
-			defer mu.Unlock()
-			// One answer in five is noise: bytes in place of a value, in a batch that is in order.
-			if r.Trouble && rand.IntN(5) == 0 {
-				b := make([]byte, 16)
-				for i := range b {
-					b[i] = byte(rand.Uint32())
-				}
-				b[0] = 0xff // never in UTF-8
-				value = string(b)
-				noise++
-			}
-			if made[p.ID] == nil {
-				made[p.ID] = map[string]bool{}
-			}
-			made[p.ID][value] = true
-			return standin.Reply{End: 'S', Score: 1, Value: value}
+			do := standin.Sound(p)
+			do.After = 10 * time.Millisecond
+			return do
 		})
-		at, err := n.ServeFlight()
+		n.Probed = func(int) bool { return true }
+		at, err := n.ServeFrames()
 		r.Need(err)
-		members = append(members, standin.Member{ID: n.ID, HostPort: at, Locality: []string{"zona-12", "mixco"}[i%2], Cell: i, Phase: "active", Size: 1})
+		list = append(list, n)
+		members = append(members, standin.Member{ID: n.ID, HostPort: at, Locality: []string{"zona-12", "mixco"}[i%2], Cell: i % 4, Phase: "active", Size: 1})
 	}
-	dir := standin.NewDirectory(members...)
-	m := r.Start(standin.Setup{Name: "n0", Settings: settings, Discovery: dir.Serve(), Known: members})
+	d := rig.NewDiscovery(r, members...)
+	d.Whole = true
+	f := r.StartFleet(mixers, "zona-12", settings, d)
+	f.Ask(pace, func() standin.Query {
+		shard := rand.IntN(8)
+		return standin.Query{Class: "pallet-lookup", Shards: []int{shard, (shard + 1) % 8}, Deadline: 4 * time.Second}
+	})
+	f.Followers(8*time.Second, settle)
+	const gone = 3
+	before := list[gone].Count()
+	changed := time.Now()
+	if r.Trouble {
+		d.Change(func(all []standin.Member) []standin.Member { return append(all[:gone], all[gone+1:]...) })
+		r.Say("discovery's list leaves out %s from now on; its answers are whole lists; %s goes on answering", list[gone].ID, list[gone].ID)
+	} else {
+		d.Change(func(all []standin.Member) []standin.Member { all[gone].Phase = "leaving"; return all }, list[gone].ID)
+		r.Say("discovery's list says of %s that it leaves; its answers are whole lists", list[gone].ID)
+	}
+	time.Sleep(watched)
 
-	served, other, wrong := 0, 0, 0
-	for n := range queries {
-		id := fmt.Sprintf("%016x", rand.Uint64())
-		body := fmt.Sprintf(`{"slices":[{"slice":%d,"mass":0.5},{"slice":%d,"mass":0.5}],"filter":"c41e77d0"}`, n%8, (n+1)%8)
-		req, err := http.NewRequest("POST", "http://"+m.Listen()+"/pallet-lookup", strings.NewReader(body))
-		r.Need(err)
-		req.Header.Set("Req-Id", id)
-		req.Header.Set("Req-Deadline-Ms", "4000")
-		resp, err := http.DefaultClient.Do(req)
-		r.Need(err)
-		text, err := io.ReadAll(resp.Body)
-		r.Need(err)
-		_ = resp.Body.Close() // read whole
-		if resp.StatusCode != http.StatusOK {
-			other++
-			r.Say("query %s: status %d", id, resp.StatusCode)
-			continue
+	for i := range mixers {
+		c, told := d.Calls(i), "never"
+		if !c.Told.IsZero() {
+			told = fmt.Sprintf("%.3f s after the change", c.Told.Sub(changed).Seconds())
 		}
-		served++
-		var answer struct {
-			Entire bool
-			Items  []struct {
-				Slice int
-				Body  string
-			}
+		r.Say("mixer n%d: %d calls to discovery, the latest %.1f s before the end; discovery wrote it the new list: %s; %d queries served", i, c.Count,
+			time.Since(c.Last).Seconds(), told, f.Served(i))
+	}
+	var sent, late [mixers]int
+	var last [mixers]time.Duration
+	for _, p := range list[gone].Parts() {
+		if p.At.Before(changed) {
+			continue
 		}
-		r.Need(json.Unmarshal(text, &answer))
-		for _, v := range answer.Items {
-			mu.Lock()
-			values := made[fmt.Sprintf("%s.%d", id, v.Slice)]
-			mu.Unlock()
-			// A value that was passed on as it is stands in the answer's own bytes; the decoder would replace what is no UTF-8.
-			right := false
-			for value := range values {
-				right = right || bytes.Contains(text, []byte(value))
-			}
-			if right {
-				continue
-			}
-			wrong++
-			r.Say("query %s got: %s", id, text)
-			for value := range values {
-				r.Say("slice %d holds, decoded, the bytes %s; its node made %s", v.Slice, hex.EncodeToString([]byte(v.Body)), hex.EncodeToString([]byte(value)))
-			}
+		i := rig.MixerOf(p)
+		after := p.At.Sub(changed)
+		sent[i]++
+		last[i] = max(last[i], after)
+		if after > askWithin+grace+slack {
+			late[i]++
 		}
-		time.Sleep(5 * time.Millisecond)
 	}
-	r.Say("%d queries served, %d not; %d answers of nodes were noise; %d values that no node had made", served, other, noise, wrong)
-	switch {
-	case served == 0 || r.Trouble && noise == 0:
-		r.End(rig.NotRun, "nothing was served, or nothing was spoilt")
-	case wrong > 0:
-		r.End(rig.Broken, fmt.Sprintf("clients were served %d values that no stock node had made", wrong))
+	sum := 0
+	for i := range mixers {
+		r.Say("mixer n%d: %d parts at %s after it had left the list, the last %.3f s after; %d of them later than %v", i, sent[i], list[gone].ID, last[i].Seconds(),
+			late[i], askWithin+grace+slack)
+		sum += late[i]
+	}
+	if before == 0 {
+		r.End(rig.NotRun, "the node got no parts before it left")
+	}
+	if sum > 0 {
+		r.End(rig.Broken, fmt.Sprintf("%d parts were sent to a node that had gone from the list more than %v before", sum, askWithin+grace+slack))
 	}
-	r.End(rig.Held, "all values are those that the nodes made")
+	r.End(rig.Held, "nothing was sent to the node after its time")
 }
