--- a/review/6/main.go
+++ b/review/6/main.go
@@ -9,12 +9,8 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"os"
-	"path/filepath"
-	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"kiteloft/internal/standin"
@@ -33,7 +29,6 @@
 	before    = 5 * time.Second // of sound clients alone
 	trouble   = 20 * time.Second
 	after     = 5 * time.Second
-	look      = 10 * time.Millisecond // between two looks at the mixer's memory
 )
 
 const settings = `{"balancers":3,"zone":0,"tick":0.005,"discovery":"ask","failure_domains":["zona-12","mixco"],
@@ -44,21 +39,6 @@
 "family_info":{"per_call":8,"positions":12,"span":2,"ranges":24,"class_floor":[0.8,1],"need_by_class":[1,1],"short_worth":[0.8,0.9],"follow_up":[0,0]},
 "rules":{"ask_within":10,"cold":18,"cold_from":0.32,"drain_grace":2,"fall":1,"fall_multiple":3,"grace_to_answer":0.02}}`
 
-// residentKB is a process's resident memory; 0: the process has ended.
-func residentKB(pid int) int {
-	text, err := os.ReadFile(filepath.Join("/proc", strconv.Itoa(pid), "status"))
-	if err != nil {
-		return 0
-	}
-	for line := range strings.SplitSeq(string(text), "\n") {
-		if s, ok := strings.CutPrefix(line, "VmRSS:"); ok {
-			n, _ := strconv.Atoi(strings.Fields(s)[0])
-			return n
-		}
-	}
-	return 0
-}
-
 // request is a query in the platform's form.
 func request(class, id string, shards []int, weights []float64, filter string) string {
 	q := standin.Query{Shards: shards, Weights: weights, Filter: filter}
@@ -84,22 +64,7 @@
 	}
 	dir := standin.NewDirectory(members...)
 	m := r.Start(standin.Setup{Name: "n0", Settings: settings, Discovery: dir.Serve(), Known: members, MemoryMB: memoryMB, Sockets: sockets})
-	pid := m.Cmd.Process.Pid
-
-	var killed atomic.Bool
-	var peak atomic.Int64
-	go func() {
-		for !killed.Load() {
-			kb := residentKB(pid)
-			peak.Store(max(peak.Load(), int64(kb)))
-			if kb > memoryMB<<10 {
-				killed.Store(true)
-				r.Say("the mixer has %d KB, its limit is %d KB: the platform kills it", kb, memoryMB<<10)
-				m.Kill()
-			}
-			time.Sleep(look)
-		}
-	}()
+	memory := r.WatchMemory(m, memoryMB)
 
 	var mu sync.Mutex
 	sound, lost := map[string]int{}, 0
@@ -115,7 +80,7 @@
 				return
 			default:
 			}
-			if killed.Load() {
+			if memory.Killed.Load() {
 				continue // a front would send them elsewhere
 			}
 			shard := rand.IntN(24)
@@ -134,7 +99,7 @@
 		}
 	})
 	time.Sleep(before)
-	r.Say("sound clients alone: %d KB at most", peak.Load())
+	r.Say("sound clients alone: %d KB at most", memory.PeakKB.Load())
 	loudGot := map[string]int{}
 	if r.Trouble {
 		r.Say("%d clients send a query of %d bytes whose weights sum to 0.996, and the same again as soon as it is turned away", loud, bodyBytes)
@@ -142,7 +107,7 @@
 		end := time.Now().Add(trouble)
 		for range loud {
 			all.Go(func() {
-				for time.Now().Before(end) && !killed.Load() {
+				for time.Now().Before(end) && !memory.Killed.Load() {
 					c, err := net.Dial("tcp", m.Listen())
 					if err != nil {
 						time.Sleep(10 * time.Millisecond)
@@ -176,11 +141,11 @@
 	mu.Lock()
 	r.Say("sound clients: %v, and %d without an answer; the others: %v", sound, lost, loudGot)
 	mu.Unlock()
-	r.Say("memory: %d KB at most of %d", peak.Load(), memoryMB<<10)
+	r.Say("memory: %d KB at most of %d", memory.PeakKB.Load(), memoryMB<<10)
 	if sound["served"] == 0 {
 		r.End(rig.NotRun, "nothing was served")
 	}
-	if killed.Load() {
+	if memory.Killed.Load() {
 		r.End(rig.Broken, fmt.Sprintf("the mixer went over its memory, and %d queries of sound clients were lost with it", lost))
 	}
 	if lost > 0 {
