Review: the cases' programs stand behind a build tag

Neither go vet ./... nor the default tests build them now; review/build-2.sh does, with -tags review.

--- a/review/6/main.go
+++ b/review/6/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command 6 has some clients repeat a large query at full speed while others ask as ever. It plays
 // the platform, which kills a mixer that takes more memory than its limit.
 package main
--- a/review/7/main.go
+++ b/review/7/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command 7 has a fleet of mixers share what discovery tells, and a stock node leave by a whole
 // list that does not name it. It checks the rule on drains at the stock nodes.
 package main
--- a/review/8/main.go
+++ b/review/8/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command 8 has a platform client ask a mixer whose stock nodes speak Arrow Flight. It checks that
 // the values in the client's answers are those that the nodes made.
 package main
--- a/review/9/main.go
+++ b/review/9/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command 9 has clients of Arrow Flight send half a request on many streams and stay, while others
 // ask as ever. It plays the platform, which kills a mixer that takes more memory than its limit.
 package main
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,6 +5,6 @@
 mkdir -p bin
 for case in 6 7 8 9 10; do
 	if [ -d "review/$case" ]; then
-		go build -o "bin/review-$case" "./review/$case"
+		go build -tags review -o "bin/review-$case" "./review/$case"
 	fi
 done
--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package rig
 
 import (
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Package rig starts the mixers of a review case with the command of the deploy file, writes the
 // case's record, and ends every process that the case started.
 package rig
