--- a/review/6/main.go
+++ b/review/6/main.go
@@ -27,7 +27,7 @@
 	weight    = 0.332           // of each of the three parts of the clients that repeat
 	soundRate = 20              // queries a second
 	loud      = 200             // requests at once of the clients that repeat
-	bodyBytes = 60_000          // of their filter; a body holds 64 KiB at most
+	bodyBytes = 65_000          // of their filter; a body holds 64 KiB at most
 	before    = 5 * time.Second // of sound clients alone
 	trouble   = 20 * time.Second
 	after     = 5 * time.Second
