Broker: ended queries are released at once, not at their clients' deadlines

Cause: the timers at a query's deadline, at the time of a pipelined request and at an attempt's time-out held the query with its text until they were due. Nothing stopped them when the query ended.

Change: timers can be stopped; the end of a query or an attempt stops its own.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -200,6 +200,8 @@
 	whole           bool    // the first step's answer was whole
 	ended           bool    // it has its final answer, or its client has left
 	ownOpenCount    int     // its share of Core.openCount
+	guardTimer      *timer  // calls failUnanswered
+	failTimer       *timer  // for QueryHandle.FailBy; nil: it was not called
 	trace           *tracing.Query
 }
 
@@ -235,6 +237,7 @@
 	index     int           // index among the part's attempts
 	sent      time.Duration // when the module asked for it
 	timeoutAt time.Duration
+	timeout   *timer // ends it at timeoutAt
 	ended     bool
 
 	allowed bool // the gate has allowed it once
@@ -461,7 +464,7 @@
 		Key: in.Key, Left: in.Left, Work: work, Repeat: in.Repeat})
 	c.openParts(q, in.Parts)
 	c.addOpen(q, 1)
-	c.timers.add(q.deadline-min(finalGuardMargin, c.config.Module.Tick), func() { c.failUnanswered(q) })
+	q.guardTimer = c.timers.add(q.deadline-min(finalGuardMargin, c.config.Module.Tick), func() { c.failUnanswered(q) })
 	return Taken, &QueryHandle{c, q}
 }
 
@@ -516,13 +519,14 @@
 	h.c.events = append(h.c.events, decide.ClientGone{Query: h.q.id})
 }
 
-// FailBy has the query fail at the given time if that is before its deadline. It is used
-// when answers to later requests of the same client have to wait for this one.
+// FailBy has the query fail at the given time if that is before its deadline. The earliest of
+// several times counts. It is used when answers to later requests of the same client have to wait for this one.
 func (h *QueryHandle) FailBy(at time.Duration) {
-	if h.q.ended || at >= h.q.deadline {
+	if h.q.ended || at >= h.q.deadline || h.q.failTimer != nil && h.q.failTimer.at <= at {
 		return
 	}
-	h.c.timers.add(at, func() {
+	h.c.timers.stop(h.q.failTimer)
+	h.q.failTimer = h.c.timers.add(at, func() {
 		if !h.q.ended {
 			h.c.expireQuery(h.q)
 		}
@@ -554,6 +558,9 @@
 	c.openCount -= q.ownOpenCount
 	delete(c.queries, q.id)
 	delete(c.wireIDs, q.WireID)
+	// Their functions hold the query with its text, which may have ended long before its deadline.
+	c.timers.stop(q.guardTimer)
+	c.timers.stop(q.failTimer)
 	c.cancelAttempts(q)
 	if how != tracing.Deserted {
 		served := how == tracing.Served || how == tracing.Short
@@ -600,6 +607,7 @@
 func (c *Core) finishAttempt(a *Attempt, o decide.Outcome, won bool) {
 	a.p.q.trace.EndAttempt(a.trace, c.now, tracing.Outcome(o), !o.NeverRan(), won)
 	a.ended, a.neverRan = true, o.NeverRan()
+	c.timers.stop(a.timeout)
 	if c.observer != nil {
 		c.observer.Observe(c.listedNodes[a.Node.ID], o, c.now-a.sent, a.p.q.class.LatencyTarget)
 	}
--- a/internal/broker/loop.go
+++ b/internal/broker/loop.go
@@ -43,14 +43,17 @@
 
 // timer is a function and when it is due.
 type timer struct {
-	at  time.Duration
-	seq int64 // order of creation, for timers that are due at the same time
-	fn  func()
+	at    time.Duration
+	seq   int64 // order of creation, for timers that are due at the same time
+	index int   // place in the heap; notInHeap: it has run or was stopped
+	fn    func()
 }
 
+const notInHeap = -1
+
 // timerHeap implements heap.Interface.
 type timerHeap struct {
-	list []timer
+	list []*timer
 	seq  int64
 }
 
@@ -59,19 +62,39 @@
 	a, b := h.list[i], h.list[j]
 	return a.at < b.at || a.at == b.at && a.seq < b.seq
 }
-func (h *timerHeap) Swap(i, j int) { h.list[i], h.list[j] = h.list[j], h.list[i] }
-func (h *timerHeap) Push(x any)    { h.list = append(h.list, x.(timer)) }
+func (h *timerHeap) Swap(i, j int) {
+	h.list[i], h.list[j] = h.list[j], h.list[i]
+	h.list[i].index, h.list[j].index = i, j
+}
+func (h *timerHeap) Push(x any) {
+	t := x.(*timer)
+	t.index = len(h.list)
+	h.list = append(h.list, t)
+}
 func (h *timerHeap) Pop() any {
 	n := len(h.list) - 1
-	x := h.list[n]
-	h.list[n] = timer{}
-	h.list = h.list[:n]
-	return x
+	t := h.list[n]
+	h.list[n], h.list = nil, h.list[:n]
+	t.index = notInHeap
+	return t
 }
 
-func (t *timers) add(at time.Duration, fn func()) {
+// add has fn run at a time. What fn refers to is held until it has run or the timer is stopped.
+func (t *timers) add(at time.Duration, fn func()) *timer {
 	t.heap.seq++
-	heap.Push(&t.heap, timer{at, t.heap.seq, fn})
+	added := &timer{at: at, seq: t.heap.seq, fn: fn}
+	heap.Push(&t.heap, added)
+	return added
+}
+
+// stop removes a timer and releases what its function refers to. It does nothing for nil, and for
+// a timer that has run or was stopped.
+func (t *timers) stop(old *timer) {
+	if old == nil || old.index == notInHeap {
+		return
+	}
+	heap.Remove(&t.heap, old.index)
+	old.fn = nil
 }
 
 // next returns when the first timer is due; false if there is none.
@@ -85,6 +108,6 @@
 // run runs the functions that are due, also those that they add.
 func (t *timers) run(now time.Duration) {
 	for len(t.heap.list) > 0 && t.heap.list[0].at <= now {
-		heap.Pop(&t.heap).(timer).fn()
+		heap.Pop(&t.heap).(*timer).fn()
 	}
 }
--- a/internal/broker/step.go
+++ b/internal/broker/step.go
@@ -151,7 +151,7 @@
 		c.traceAttempt(a, m, s.Reason)
 	}
 	p.openAttempts++
-	c.timers.add(a.timeoutAt, func() {
+	a.timeout = c.timers.add(a.timeoutAt, func() {
 		if !a.ended {
 			c.finishAttempt(a, decide.TimedOut, false)
 			c.nodes.GiveUp(a)
