Values that are not text are not served altered to the platform's clients

Cause: a Flight node's column is binary, the platform's JSON carries text, and its encoder replaces what is none. Nothing told the sessions of nodes what the client can be given.

Change: a query says whether its client's protocol carries text; Link.Finish, through which every answer passes, takes a value that can't be passed on for a failed attempt that may have run. Flight clients get binary values as before.

--- a/cmd/kiteloft/spoilt_test.go
+++ b/cmd/kiteloft/spoilt_test.go
@@ -68,6 +68,30 @@
 	}
 }
 
+// TestValuesThatAreNoTextAreNotAltered guards against a client being served what no node made: the
+// platform's JSON carries text, and bytes of a Flight node's value that were none were replaced.
+func TestValuesThatAreNoTextAreNotAltered(t *testing.T) {
+	t.Parallel()
+	const noise = "\xff\xfe\x00v"
+	b := start(t, flightWire{}, first(func(part) reply { return reply{End: 'S', Score: 1, Value: noise} })())
+	r := platformWire{}.ask(t, b, query{Class: "lookup", Shards: []int{1}, Deadline: 4 * time.Second})
+	if diff := cmp.Diff(values(1), r.Values); diff != "" || r.Kind != "served" {
+		t.Errorf("a client of the platform's got %+v: %s", r, diff)
+	}
+	attempts(t, b, 2, 2)
+	for _, n := range b.nodes {
+		n.Answers(func(part) reply { return reply{End: 'S', Score: 1, Value: noise} })
+	}
+	if r := (platformWire{}).ask(t, b, query{Class: "once", Shards: []int{1}, Deadline: 3 * time.Second}); r.Kind != "failed" {
+		t.Errorf("a client whose part has run got %+v", r)
+	}
+	attempts(t, b, 3, 3)
+	r = flightWire{}.ask(t, b, query{Class: "lookup", Shards: []int{1}, Deadline: 4 * time.Second})
+	if diff := cmp.Diff(map[int]string{1: noise}, r.Values); diff != "" {
+		t.Errorf("a Flight client, whose column is binary, got %+v: %s", r, diff)
+	}
+}
+
 // TestGoodAnswersWithMore has a node add to a good answer what does not belong to
 // it: the answer counts.
 func TestGoodAnswersWithMore(t *testing.T) {
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -32,8 +32,11 @@
 	Text      []byte        // request text that every part carries
 	Parts     []QueryPart
 	Responder Responder
-	Front     string           // name of the front end, for traces
-	Context   *tracing.Context // trace context of the client; nil if it sent none
+	// TextValues says that the client's protocol carries values as text, so that one which is not
+	// valid UTF-8 could not be passed on unchanged.
+	TextValues bool
+	Front      string           // name of the front end, for traces
+	Context    *tracing.Context // trace context of the client; nil if it sent none
 }
 
 // QueryPart is one part of a query.
@@ -230,6 +233,7 @@
 	FirstStepShards []int  // second step: the shards that were answered in the first
 	Whole           bool   // second step: the answer of the first was whole
 	Text            []byte // request text
+	TextValues      bool   // a value has to be valid UTF-8; see Query
 	Node            Node
 	TransportState  any // state of the Nodes implementation
 
--- a/internal/broker/step.go
+++ b/internal/broker/step.go
@@ -122,7 +122,7 @@
 		return nil
 	}
 	q := p.q
-	a := &Attempt{WireID: q.WireID, Shard: p.shard, Key: q.Key, Class: q.class.Name, SecondStep: p.secondStep, Text: q.Text,
+	a := &Attempt{WireID: q.WireID, Shard: p.shard, Key: q.Key, Class: q.class.Name, SecondStep: p.secondStep, Text: q.Text, TextValues: q.TextValues,
 		Node: Node{ID: s.Server}, p: p, index: len(p.attempts), sent: c.now, trace: -1}
 	p.attempts = append(p.attempts, a)
 	a.timeoutAt = q.deadline
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -275,7 +275,7 @@
 		return q, 400, "Req-Deadline-Ms is no time"
 	}
 	q = broker.Query{WireID: id, Class: class, Tenant: front.NoTenant, Left: left,
-		Repeat: m.Header.Get("req-retry") == "1", Front: "platform"}
+		Repeat: m.Header.Get("req-retry") == "1", TextValues: true, Front: "platform"}
 	if n, ok := f.tenants[m.Header.Get("req-owner")]; ok {
 		q.Tenant = n
 	}
--- a/internal/node/link.go
+++ b/internal/node/link.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"kiteloft/decide"
 	"kiteloft/internal/broker"
@@ -208,9 +209,15 @@
 	return ok
 }
 
-// Finish ends a ticket with the node's answer. It does nothing if the ticket has ended.
+// Finish ends a ticket with the node's answer. It does nothing if the ticket has ended. A value that
+// the query's client can't be given unchanged counts as a failure of the node, which may have run
+// the part.
 func (l *Link) Finish(t *Ticket, o decide.Outcome, score int64, value []byte) {
 	if l.outstanding[t.ID] == t {
+		if o == decide.OK && t.TextValues && !utf8.Valid(value) {
+			l.LogCallError(t, CallError{Reason: "value is not valid UTF-8"})
+			o, score, value = decide.Failed, 0, nil
+		}
 		delete(l.outstanding, t.ID)
 		if t.sent {
 			l.answered[t.ID] = l.pool.core.Now()
