--- a/cmd/kiteloft/rude_test.go
+++ b/cmd/kiteloft/rude_test.go
@@ -47,6 +47,7 @@
 		{"a shard below 0", body(`{"slice":-1,"mass":1}`), 400},
 		{"a shard that is no number", body(`{"slice":1.5,"mass":1}`), 400},
 		{"no shards", body(``), 400},
+		{"a filter that is no text", request("b1", `{"slices":[{"slice":1,"mass":1}],"filter":"a`+"\xff"+`"}`, ""), 400},
 		{"a deadline that is no number", strings.Replace(request("a", lookup, ""), "Ms: 4000", "Ms: soon", 1), 400},
 		{"a deadline below 0", strings.Replace(request("a", lookup, ""), "Ms: 4000", "Ms: -1", 1), 400},
 		{"a huge deadline", strings.Replace(request("a", lookup, ""), "Ms: 4000", "Ms: 99999999999999999999", 1), 400},
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -7,6 +7,7 @@
 	"math"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	jsoniter "github.com/json-iterator/go"
 	"github.com/rs/zerolog"
@@ -133,6 +134,9 @@
 	if math.Abs(sum-1) > weightTolerance {
 		return errors.New("slices: masses that are no whole")
 	}
+	if !utf8.ValidString(b.Filter) {
+		return errors.New("the filter is not valid UTF-8") // Flight nodes could not be sent it unchanged
+	}
 	q.Text = []byte(b.Filter)
 	return nil
 }
