New clients are accepted, and small buffers kept, while others send at full speed

Cause: netpoll's loop accepts one connection in each round of the poller, so a new client waited for as many rounds as there were others; a log line showed requests that had waited in the kernel for seconds on connections accepted 14 ms ago. Beside it, netpoll kept the buffer of each connection's largest read for good, as Release is called while its poller still holds the connection: 80 to 95 MB for 320 clients whose bytes were only discarded.

Change: a goroutine accepts all that wait and hands them to netpoll; large buffers are released in a second call; what is discarded is discarded in the kernel; new connections begin with a buffer of 2 KiB, and clients' receive buffers are 16 KiB, which bounds a connection's turn.

--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -77,6 +77,7 @@
 	muted         atomic.Bool   // no more Data is delivered: Finish or Close was called
 	discards      atomic.Bool   // what still arrives is read and discarded
 	discarded     int64         // bytes discarded; used by the worker only
+	releasing     bool          // a release of netpoll's buffer is queued; used by the worker only
 	unhandled     atomic.Int64  // bytes read that wait for the owner's goroutine
 	inputDelay    time.Duration // of the bytes of the present Data; used by the owner's goroutine only
 	net           *Net
@@ -141,10 +142,12 @@
 		return
 	}
 	_ = r.Release() // fails only on a closed connection
+	c.releaseLater(n)
 	truncated := admitted < n && !c.discards.Load()
 	if admitted < n {
 		c.discards.Store(true)
-		if c.discarded += int64(n - admitted); c.dialed || c.discarded > maxDiscardedBytes {
+		c.discarded += int64(n-admitted) + c.discardUnread()
+		if c.dialed || c.discarded > maxDiscardedBytes {
 			c.Close(PeerFlooded)
 			return
 		}
@@ -171,6 +174,40 @@
 	})
 }
 
+// releaseLater has a large buffer released that netpoll read into. Release keeps the buffer while the
+// poller is about to return from this very read, as it is here: the connection would hold it for as
+// long as it is open. It runs on the worker's goroutine.
+func (c *Conn) releaseLater(read int) {
+	if read < keptBufferBytes || c.releasing {
+		return
+	}
+	c.releasing = true
+	worker.addWithNext(func() {
+		c.releasing = false
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if !c.closed && !c.detached { // netpoll's part of the connection may be in use for another one then
+			_ = c.nc.Reader().Release() // fails only on a closed connection
+		}
+	})
+}
+
+// discardUnread discards what the kernel holds of the peer's bytes, which spares the poller the
+// memory and the time to read them. It returns how many bytes these were.
+func (c *Conn) discardUnread() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || c.end != Open {
+		return 0
+	}
+	n, _, errno := unix.Syscall6(unix.SYS_RECVFROM, uintptr(c.fd), 0, maxKernelDiscard, unix.MSG_TRUNC|unix.MSG_DONTWAIT, 0, 0)
+	if errno != 0 || int64(n) <= 0 {
+		return 0 // nothing is there, or the poller reports the end
+	}
+	c.in.Add(int64(n))
+	return int64(n)
+}
+
 // arrivalInfo returns how long the bytes that are read now have waited in the kernel, and whether
 // the peer has shut down its sending side since. Bytes on accepted connections may have arrived
 // long before the accept. Both are zero for dialed connections, and where the kernel does not tell.
@@ -522,7 +559,7 @@
 	})
 }
 
-// attach registers the callbacks of a dialed connection with netpoll.
+// attach registers the callbacks of a connection with netpoll, which watches it already.
 func (c *Conn) attach() {
 	_ = c.nc.AddCloseCallback(func(netpoll.Connection) error { c.pollerClosed(); return nil }) // never fails
 	_ = c.nc.SetOnRequest(func(context.Context, netpoll.Connection) error { c.readable(); return nil })
--- a/internal/transport/net.go
+++ b/internal/transport/net.go
@@ -3,15 +3,12 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
-	"net"
 	"net/netip"
 	"runtime"
 	"slices"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/cloudwego/netpoll"
@@ -28,6 +25,15 @@
 	// receiveBufferBytes is the size of a socket's receive buffer. It also bounds the memory that
 	// netpoll allocates for one read, up to 8 MB otherwise for a peer that sends at full speed.
 	receiveBufferBytes = 64 << 10
+	// clientReceiveBufferBytes is the same for accepted connections. There may be hundreds of them at
+	// full speed, and it bounds for how long one of them occupies the owner in each round.
+	clientReceiveBufferBytes = 16 << 10
+	// firstBufferBytes is the size of the buffer that netpoll gives each new connection.
+	firstBufferBytes = 2 << 10
+	// keptBufferBytes is the size of the buffer that netpoll keeps for each connection.
+	keptBufferBytes = 8 << 10
+	// maxKernelDiscard is how many bytes are discarded at once without being read.
+	maxKernelDiscard = 1 << 20
 )
 
 // worker runs netpoll's callbacks for all connections on one goroutine, so that none is started
@@ -38,7 +44,7 @@
 // taskQueue runs functions one after another on the goroutine that calls run.
 type taskQueue struct {
 	mu    sync.Mutex
-	list  []func() // at most one for each connection
+	list  []func() // at most two for each connection
 	ready chan struct{}
 }
 
@@ -55,6 +61,13 @@
 	runtime.Gosched()
 }
 
+// addWithNext queues a function to run once the next one is added.
+func (t *taskQueue) addWithNext(f func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.list = append(t.list, f)
+}
+
 func (t *taskQueue) run() {
 	for range t.ready {
 		t.mu.Lock()
@@ -84,7 +97,7 @@
 }
 
 func init() {
-	if err := netpoll.Configure(netpoll.Config{Runner: worker.add, LoadBalance: netpoll.RoundRobin, LoggerOutput: netpollLog{}}); err != nil {
+	if err := netpoll.Configure(netpoll.Config{BufferSize: firstBufferBytes, Runner: worker.add, LoadBalance: netpoll.RoundRobin, LoggerOutput: netpollLog{}}); err != nil {
 		panic(err) // the values are constants that netpoll accepts
 	}
 	go worker.run()
@@ -268,68 +281,3 @@
 	}
 	return Refused
 }
-
-// Listener is a listening socket, made by Net.Listen.
-type Listener struct {
-	ln netpoll.Listener
-}
-
-// Listen accepts connections at the address. Accept is called for each connection, on the poller's
-// goroutine, and returns the connection's handler.
-func (n *Net) Listen(addr string, accept func(*Conn) Handler) (*Listener, error) {
-	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
-		var err error
-		if e := raw.Control(func(fd uintptr) { // accepted sockets inherit it
-			err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBufferBytes)
-		}); e != nil {
-			return e
-		}
-		return err
-	}}
-	tcp, err := config.Listen(context.Background(), "tcp", addr)
-	if err != nil {
-		return nil, fmt.Errorf("listening: %w", err)
-	}
-	ln, err := netpoll.ConvertListener(tcp)
-	if err != nil {
-		return nil, fmt.Errorf("listening at %s: %w", addr, err)
-	}
-	prepare := func(nc netpoll.Connection) context.Context {
-		n.open.Add(1)
-		c := n.newConn(nc, false)
-		if !n.admit(c) {
-			n.open.Add(-1)
-			_ = nc.Close() // keeps to the limit on descriptors; the client retries elsewhere
-			return context.Background()
-		}
-		c.h = accept(c)
-		_ = nc.AddCloseCallback(func(netpoll.Connection) error { c.pollerClosed(); return nil }) // never fails
-		return context.WithValue(context.Background(), connKey{}, c)
-	}
-	loop, err := netpoll.NewEventLoop(func(ctx context.Context, nc netpoll.Connection) error {
-		if c, ok := ctx.Value(connKey{}).(*Conn); ok {
-			c.readable()
-		}
-		return nil
-	}, netpoll.WithOnPrepare(prepare))
-	if err != nil {
-		return nil, fmt.Errorf("serving %s: %w", addr, err)
-	}
-	go func() { _ = loop.Serve(ln) }() // ends when the listener is closed
-	return &Listener{ln: ln}, nil
-}
-
-type connKey struct{}
-
-// Addr returns the address listened at.
-func (l *Listener) Addr() net.Addr { return l.ln.Addr() }
-
-// Close stops accepting; accepted connections stay open. It shuts the socket down and leaves the
-// descriptor open until the program ends: netpoll's own Close closes the descriptor twice, and the
-// second time may hit a connection that has been given the same number.
-func (l *Listener) Close() error {
-	if err := unix.Shutdown(l.ln.Fd(), unix.SHUT_RDWR); err != nil {
-		return fmt.Errorf("closing the listener: %w", err)
-	}
-	return nil
-}
