Memory for clients' input is bounded in bytes, over all connections of both fronts

Cause: bounds on things counted, streams, connections and open queries, each of which may hold 64 to 144 KiB. Windows of HTTP/2 were opened again whether or not a request was finished.

Change: internal/memory, a budget in bytes with an account for each client and call. While it is exceeded, what has stayed unfinished for longest is refused, 503 or UNAVAILABLE with the time to come back; what was read whole gets its refusal in its turn, and what is being served its answer. The texts of open queries have a bound of their own. HTTP/2: DATA frames are not copied by the framer, the framer's buffer is released, heads of over 128 fields end the connection before they are decoded. The collector's limit leaves out the program itself.

--- a/cmd/kiteloft/bed_test.go
+++ b/cmd/kiteloft/bed_test.go
@@ -141,6 +141,7 @@
 	collector string                     // of flows; "": they are not exported
 	extra     string                     // more of deploy/broker.toml
 	sockets   int                        // 0: 1024
+	memoryMB  int                        // 0: 192
 	listen    string                     // "": any address that is free
 	torn      time.Duration              // for so long only half of the configuration is there
 	launcher  bool                       // the mixer's system calls may fail
@@ -227,7 +228,7 @@
 	}
 	var err error
 	b.Mixer, err = standin.Start(standin.Setup{Program: path, Args: args, Dir: dir, Settings: settings, Discovery: b.discovery, Known: b.members,
-		Listen: b.listen, Torn: b.torn, Sockets: b.sockets, Broker: "[flight]\nlisten = \"127.0.0.1:0\"\n[ipfix]\ncollector = \"" + b.collector + "\"\n" + b.extra})
+		Listen: b.listen, Torn: b.torn, Sockets: b.sockets, MemoryMB: b.memoryMB, Broker: "[flight]\nlisten = \"127.0.0.1:0\"\n[ipfix]\ncollector = \"" + b.collector + "\"\n" + b.extra})
 	if err := errors.Join(err, <-attached); err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/kiteloft/main.go
+++ b/cmd/kiteloft/main.go
@@ -24,6 +24,7 @@
 	"kiteloft/internal/front/flight"
 	"kiteloft/internal/front/platform"
 	"kiteloft/internal/ipfix"
+	"kiteloft/internal/memory"
 	"kiteloft/internal/node"
 	nodeflight "kiteloft/internal/node/flight"
 	"kiteloft/internal/transport"
@@ -39,6 +40,10 @@
 	logPoll      = 50 * time.Millisecond
 	backlogShare = 8   // one in so many bytes of memory may hold what was read and not looked at
 	memoryShare  = 0.7 // share of the memory limit at which the collector works harder
+	processMB    = 20  // megabytes that the process takes when nothing is asked of it
+	programMB    = 19  // megabytes of these that the collector does not manage: the program itself
+	inputShare   = 10  // one in so many of the other bytes may hold unfinished and waiting requests
+	textShare    = 10  // one in so many of them may hold the texts of open queries
 )
 
 // flags are the command line's. Without any, the mixer serves as the environment
@@ -216,7 +221,9 @@
 
 func serve(cfg config.Config, getenv func(string) string, sig signals, log zerolog.Logger) error {
 	runtime.GOMAXPROCS(1) // we are given one core
-	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.MemoryMB) * (1 << 20)))
+	debug.SetMemoryLimit(min(int64(memoryShare*float64(cfg.MemoryMB)*(1<<20)), (cfg.MemoryMB-programMB)<<20))
+	spareBytes := (cfg.MemoryMB - processMB) << 20
+	input := memory.NewBudget(spareBytes / inputShare)
 
 	started := time.Now()
 	clock := func() time.Duration { return clockStart + time.Since(started) }
@@ -242,7 +249,9 @@
 	core.Attach(links, dir)
 	core.SetCounts(&count.set)
 	links.Counts, dir.Counts = &count.set, &count.set
+	core.LimitOpenBytes(spareBytes / textShare)
 	front := platform.New(core, set.Module.Classes, set.Module.Tenants, net, log)
+	front.LimitInput(input)
 	var ln *transport.Listener
 	err = persist(func() (err error) {
 		ln, err = net.Listen(cfg.Listen, func(c *transport.Conn) transport.Handler { return front.Accept(c) })
@@ -258,6 +267,7 @@
 		if columns, err = flight.New(core, set.Module.Classes, net, cfg.Seed, log); err != nil {
 			return fmt.Errorf("flight: %w", err)
 		}
+		columns.LimitInput(input)
 		ln, err := net.Listen(cfg.FlightListen, func(c *transport.Conn) transport.Handler { return columns.Accept(c) })
 		if err != nil {
 			return fmt.Errorf("flight.listen: %w", err)
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -183,6 +183,8 @@
 	timerLag     time.Duration   // longest delay of a timer since the last call of Lag
 	number       int64           // number of the latest query
 	openCount    int             // open queries and their parts
+	openBytes    int64           // text of the open queries, in bytes
+	maxOpenBytes int64           // 0: no limit
 	audit        Audit
 	closed       bool   // FailAllQueries was called: no new query is taken
 	shardBuffer  []int  // buffer of requestHash
@@ -292,6 +294,9 @@
 // SetProber sets the prober in place of the Nodes given to Attach.
 func (c *Core) SetProber(p Prober) { c.prober = p }
 
+// LimitOpenBytes sets how many bytes the texts of all open queries may have together.
+func (c *Core) LimitOpenBytes(n int64) { c.maxOpenBytes = n }
+
 // AggregatorsChanged tells the decision module how many mixers of the fleet are alive, and
 // this mixer's share, from 0 to 1, of the budgets that they have in common.
 func (c *Core) AggregatorsChanged(live int, share float64) {
@@ -424,7 +429,7 @@
 // The results of Admit.
 const (
 	Taken        Admission = iota
-	Crowded                // as many queries and parts are open as the settings allow
+	Crowded                // as many queries and parts are open as the settings allow, or as much text as there is memory for
 	Duplicate              // a query with the same WireID is open
 	Invalid                // class, shards, weights or time left are not valid
 	ShuttingDown           // the process is shutting down
@@ -446,7 +451,8 @@
 	c.stormDetector.RecordQuery(c.now, in.Repeat, requestHash)
 	// Bounds memory, and keeps to the number of open queries and parts that the module's
 	// settings promise it.
-	if most := c.limits.MaxOpen; most > 0 && c.openCount+1+len(in.Parts) > most {
+	most := c.limits.MaxOpen
+	if most > 0 && c.openCount+1+len(in.Parts) > most || c.maxOpenBytes > 0 && c.openBytes+int64(len(in.Text)) > c.maxOpenBytes {
 		c.stormDetector.Ended(c.now, false)
 		c.countEvent(counts.Crowded, in.WireID, "")
 		return Crowded, nil
@@ -457,6 +463,7 @@
 	q := &query{Query: in, id: "q" + number(c.number), number: c.number, class: &c.config.Module.Classes[in.Class],
 		deadline: c.now + in.Left}
 	c.queries[q.id], c.wireIDs[in.WireID] = q, q
+	c.openBytes += int64(len(in.Text))
 	work := time.Duration(0)
 	for _, p := range in.Parts {
 		work += p.Work
@@ -560,6 +567,7 @@
 	c.audit.Ended++
 	c.countEvent(endKind(how, why), q.WireID, "")
 	c.openCount -= q.ownOpenCount
+	c.openBytes -= int64(len(q.Text))
 	delete(c.queries, q.id)
 	delete(c.wireIDs, q.WireID)
 	// Their functions hold the query with its text, which may have ended long before its deadline.
--- a/internal/front/flight/flight.go
+++ b/internal/front/flight/flight.go
@@ -29,6 +29,7 @@
 	"kiteloft/internal/front"
 	"kiteloft/internal/gate"
 	"kiteloft/internal/h2"
+	"kiteloft/internal/memory"
 	"kiteloft/internal/tracing"
 	"kiteloft/internal/transport"
 )
@@ -36,9 +37,11 @@
 var json = jsoniter.ConfigCompatibleWithStandardLibrary
 
 const (
-	servicePath       = "/arrow.flight.protocol.FlightService/"
-	maxMessageBytes   = 128 << 10       // bytes of a client's message: a query of 64 KiB and its envelope
-	answerReadTimeout = 5 * time.Second // for the client to read a finished answer
+	servicePath     = "/arrow.flight.protocol.FlightService/"
+	maxMessageBytes = 128 << 10 // bytes of a client's message: a query of 64 KiB and its envelope
+	// unfinishedCallBytes is what a call takes besides the text of its request.
+	unfinishedCallBytes = 1 << 10
+	answerReadTimeout   = 5 * time.Second // for the client to read a finished answer
 )
 
 // Front serves Flight clients. Its methods, except Accept, may only be called on the core's
@@ -54,8 +57,13 @@
 	schema        []byte
 	clients       map[*client]struct{}
 	closing       bool
+	input         *memory.Budget // for unfinished requests; nil: no limit
 }
 
+// LimitInput sets the budget of the memory that unfinished requests take. It has to be called before
+// the first connection is accepted.
+func (f *Front) LimitInput(b *memory.Budget) { f.input = b }
+
 // New returns a Front for the classes. The seed is for the random ids that it generates for
 // queries. It fails only if the Arrow schema can't be encoded.
 func New(core front.Core, classes []decide.Class, limit front.ConnectionLimit, seed uint64, log zerolog.Logger) (*Front, error) {
@@ -79,10 +87,12 @@
 	conn          front.Conn
 	h2            *h2.Conn
 	calls         map[*call]struct{}
-	halfClosed    bool          // the client has shut down its sending side
-	hasCalled     bool          // at least one call has begun
-	closeDeadline time.Duration // when a connection that is finishing is closed; 0: it is not finishing
-	lastDataAt    time.Duration // when bytes were last received
+	refused       bool            // nothing of the client is read any more
+	halfClosed    bool            // the client has shut down its sending side
+	hasCalled     bool            // at least one call has begun
+	closeDeadline time.Duration   // when a connection that is finishing is closed; 0: it is not finishing
+	lastDataAt    time.Duration   // when bytes were last received
+	input         *memory.Account // of unfinished frames
 }
 
 // call is one gRPC call on an HTTP/2 stream. It implements broker.Responder for its query.
@@ -97,6 +107,7 @@
 	traceContext   *tracing.Context
 	parser         h2.MessageParser
 	message        []byte
+	input          *memory.Account // of the unfinished request
 	handle         *broker.QueryHandle
 	done           bool // the status has been written, or the call was dropped
 	doneAt         time.Duration
@@ -107,19 +118,63 @@
 func (f *Front) Accept(conn front.Conn) transport.Handler {
 	c := &client{f: f, conn: conn, calls: map[*call]struct{}{}}
 	f.core.Post(func() {
-		c.lastDataAt = f.core.Now()
+		c.lastDataAt, c.input = f.core.Now(), f.input.Account(c)
 		c.h2 = h2.New(true, streamHandler{c}, conn.Write)
 		f.clients[c] = struct{}{}
+		if f.limit.NearLimit() {
+			f.closeRefused()
+		}
 	})
 	return c
 }
 
+// closeRefused closes a connection that has been sent its last frame and whose client goes on
+// sending. It keeps file descriptors free.
+func (f *Front) closeRefused() {
+	for c := range f.clients {
+		if c.closeDeadline > 0 && c.conn.Flushed() {
+			c.conn.Close(transport.BadInput)
+			return
+		}
+	}
+}
+
 // Data implements transport.Handler.
 func (c *client) Data(b []byte) {
+	if c.refused {
+		return
+	}
 	c.lastDataAt = c.f.core.Now()
 	if err := c.h2.Receive(b); err != nil {
 		c.f.malformedLog.Info().Err(err).Msg("Flight client broke HTTP/2")
 		c.startClosing()
+		return
+	}
+	if c.closeDeadline == 0 && !c.refused {
+		c.input.Set(int64(c.h2.Held()))
+	}
+}
+
+// Shed implements memory.Holder. It refuses the calls whose requests are unfinished, and drops an
+// unfinished frame, so that nothing more can be read. Calls that are being served get their answers,
+// and then the connection is closed.
+func (c *client) Shed() {
+	if c.refused || c.closeDeadline > 0 {
+		return
+	}
+	c.f.malformedLog.Info().Msg("Flight connection with unfinished requests refused: too much is held for clients")
+	c.refused = true
+	c.h2.DropInput()
+	c.input.Set(0)
+	serving := false
+	for k := range c.calls {
+		if !k.done && k.handle == nil {
+			k.endWithStatus(h2.Status{Code: codes.Unavailable, Message: "too much is held", Pushback: front.OverloadRetryAfter})
+		}
+		serving = serving || !k.done
+	}
+	if !serving {
+		c.startClosing()
 	}
 }
 
@@ -131,6 +186,7 @@
 		for k := range c.calls {
 			c.dropCall(k)
 		}
+		c.input.Set(0)
 		c.conn.Finish(transport.BadInput)
 	}
 }
@@ -153,6 +209,8 @@
 	k.traceContext = tracing.ReadContext(h2.FieldValue(fields, "traceparent"), h2.FieldValue(fields, "tracestate"))
 	s.User = k
 	c.calls[k], c.hasCalled = struct{}{}, true
+	k.input = c.f.input.Account(k)
+	defer k.chargeInput()
 	method, ok := strings.CutPrefix(h2.FieldValue(fields, ":path"), servicePath)
 	if h2.FieldValue(fields, ":method") != "POST" || !strings.HasPrefix(h2.FieldValue(fields, "content-type"), "application/grpc") {
 		k.endWithStatus(h2.Status{Code: codes.InvalidArgument, Message: "a call is a POST of application/grpc"})
@@ -174,6 +232,7 @@
 	if !ok || k.done || k.handle != nil {
 		return
 	}
+	defer k.chargeInput()
 	list, err := k.parser.Add(b)
 	if err != nil {
 		code := codes.ResourceExhausted
@@ -195,6 +254,19 @@
 	}
 }
 
+// chargeInput accounts for the memory that the call's unfinished request takes.
+func (k *call) chargeInput() {
+	n := 0
+	if !k.done && k.handle == nil {
+		n = unfinishedCallBytes + k.parser.Held() + cap(k.message)
+	}
+	k.input.Set(int64(n))
+}
+
+// Shed implements memory.Holder. The whole connection is refused: one of its requests has stayed
+// unfinished, and its client would send more of them.
+func (k *call) Shed() { k.c.Shed() }
+
 // rejectMalformed logs err and ends the call with InvalidArgument and err's text.
 func (k *call) rejectMalformed(err error) {
 	k.c.f.malformedLog.Info().Str("method", k.method).Err(err).Msg("Flight call refused as malformed")
@@ -286,6 +358,7 @@
 	switch verdict, handle := f.core.Admit(q); verdict {
 	case broker.Taken:
 		k.handle = handle
+		k.releaseInput() // the query has a copy of its text
 	case broker.Crowded:
 		k.endWithStatus(h2.Status{Code: codes.Unavailable, Message: "too much is open", Pushback: front.OverloadRetryAfter})
 	case broker.ShuttingDown:
@@ -349,7 +422,16 @@
 }
 
 // markDone records the end of the call and frees its buffered input.
-func (k *call) markDone() { k.done, k.doneAt, k.parser = true, k.c.f.core.Now(), h2.MessageParser{} }
+func (k *call) markDone() {
+	k.done, k.doneAt = true, k.c.f.core.Now()
+	k.releaseInput()
+}
+
+// releaseInput frees the call's buffered input.
+func (k *call) releaseInput() {
+	k.parser, k.message = h2.MessageParser{}, nil
+	k.input.Set(0)
+}
 
 // Closed implements h2.Handler: the client reset the stream, or it was reset because the client
 // broke the protocol or a limit.
@@ -365,6 +447,7 @@
 	delete(c.calls, k)
 	if !k.done {
 		k.done = true
+		k.releaseInput()
 		if k.handle != nil {
 			k.handle.ClientGone()
 		}
@@ -386,6 +469,7 @@
 // Ended implements transport.Handler.
 func (c *client) Ended(transport.End) {
 	delete(c.f.clients, c)
+	c.input.Set(0)
 	for k := range c.calls {
 		c.dropCall(k)
 	}
@@ -411,7 +495,7 @@
 		}
 		verdict := gate.Close(gate.Connection{Open: c.h2.Streams() > 0, UnreadBytes: !c.halfClosed && !c.conn.InputDrained()})
 		switch idle := verdict == gate.Allowed && c.conn.Flushed(); {
-		case idle && (f.closing || c.halfClosed):
+		case idle && (f.closing || c.halfClosed || c.refused):
 			c.conn.Close(transport.LocalDone)
 		case c.closeDeadline > 0 && now > c.closeDeadline:
 			c.conn.Close(transport.BadInput)
--- a/internal/front/platform/pipeline.go
+++ b/internal/front/platform/pipeline.go
@@ -23,31 +23,52 @@
 type pipelinedRequest struct {
 	message    *http1.Message
 	receivedAt time.Duration
+	failBy     time.Duration // when it counts as lost if it has no answer; 0: it is malformed
+	refused    bool          // it is refused in its turn; message has only Close
+}
+
+// newPipelinedRequest returns a request whose last byte arrived at a time.
+func newPipelinedRequest(m *http1.Message, at time.Duration) pipelinedRequest {
+	r := pipelinedRequest{message: m, receivedAt: at}
+	if left, ok := parseDeadline(m); ok {
+		r.failBy = at + left + maxAnswerDelay
+	}
+	return r
+}
+
+// refuse has all requests refused in their turn, and frees what they hold.
+func (p pipeline) refuse() {
+	for i := range p {
+		p[i].refused, p[i].message = true, &http1.Message{Close: p[i].message.Close}
+	}
 }
 
 // size returns how many bytes the requests count as.
 func (p pipeline) size() int {
 	n := 0
 	for _, w := range p {
-		n += assumedHeadBytes + len(w.message.Body)
+		if !w.refused {
+			n += assumedHeadBytes + len(w.message.Body)
+		}
 	}
 	return n
 }
 
-// nextRequest returns the next complete request and when its last byte arrived, or nil if there
-// is none yet.
-func (c *client) nextRequest() (*http1.Message, time.Duration, error) {
+// nextRequest returns the next complete request, or nil if there is none yet.
+func (c *client) nextRequest() (*pipelinedRequest, error) {
 	if len(c.pipelined) > 0 {
 		first := c.pipelined[0]
+		c.pipelined[0] = pipelinedRequest{} // releases its message
 		c.pipelined = c.pipelined[1:]
-		return first.message, first.receivedAt, nil
+		return &first, nil
 	}
 	message, err := c.parser.Next()
 	if message == nil || err != nil {
 		c.arrivalTimes.discard()
-		return nil, 0, err
+		return nil, err
 	}
-	return message, c.arrivalTimes.lastByteAt(c.parser.Buffered(), c.f.core.Now()), nil
+	next := newPipelinedRequest(message, c.arrivalTimes.lastByteAt(c.parser.Buffered(), c.f.core.Now()))
+	return &next, nil
 }
 
 // readAhead parses requests behind the one that is being answered. A malformed one is rejected
@@ -61,7 +82,7 @@
 			}
 			break
 		}
-		c.pipelined = append(c.pipelined, pipelinedRequest{m, c.arrivalTimes.lastByteAt(c.parser.Buffered(), c.f.core.Now())})
+		c.pipelined = append(c.pipelined, newPipelinedRequest(m, c.arrivalTimes.lastByteAt(c.parser.Buffered(), c.f.core.Now())))
 	}
 	c.limitCurrent()
 }
@@ -73,8 +94,8 @@
 		return
 	}
 	for _, w := range c.pipelined {
-		if left, ok := parseDeadline(w.message); ok { // otherwise it is going to be rejected as malformed
-			c.current.failBy(w.receivedAt + left + maxAnswerDelay)
+		if w.failBy > 0 {
+			c.current.failBy(w.failBy)
 		}
 	}
 }
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -15,6 +15,7 @@
 	"kiteloft/internal/front"
 	"kiteloft/internal/gate"
 	"kiteloft/internal/http1"
+	"kiteloft/internal/memory"
 	"kiteloft/internal/tracing"
 	"kiteloft/internal/transport"
 )
@@ -42,8 +43,13 @@
 	closing       bool
 	ready         bool
 	audit         Audit
+	input         *memory.Budget // for requests that are unfinished or wait for earlier ones; nil: no limit
 }
 
+// LimitInput sets the budget of the memory that requests take which are unfinished, or wait for
+// earlier ones. It has to be called before the first connection is accepted.
+func (f *Front) LimitInput(b *memory.Budget) { f.input = b }
+
 // Audit counts requests over the life of the mixer. Each request that was received completely
 // is answered, unless its client has gone, which makes it abandoned.
 type Audit struct{ Received, Answered, Abandoned int64 }
@@ -82,10 +88,17 @@
 	closeDeadline    time.Duration // if closing: when the connection is closed at the latest
 	requestStartedAt time.Duration // when the request that is being received began; 0: none is
 	arrivalTimes     arrivals
-	overflowed       bool   // the client sent more than is buffered; the rest is ignored
-	lastAnsweredID   string // id of the query that was answered last
+	overflow         *http1.Error    // set once what the client sends is not kept any more: the answer to it
+	lastAnsweredID   string          // id of the query that was answered last
+	input            *memory.Account // of parser and pipelined
 }
 
+// The answers to what is not kept.
+var (
+	errTooMuchAtOnce = &http1.Error{Status: 413, Reason: "too much at once"}
+	errTooMuchHeld   = &http1.Error{Status: 503, Reason: "too much is held"}
+)
+
 // request is an admitted query. It implements broker.Responder.
 type request struct {
 	c            *client
@@ -101,6 +114,7 @@
 // goroutine.
 func (f *Front) Accept(conn front.Conn) transport.Handler {
 	c := &client{f: f, conn: conn, parser: http1.NewRequestParser()}
+	c.input = f.input.Account(c)
 	f.core.Post(func() {
 		c.idleSince = f.core.Now()
 		f.clients[c] = struct{}{}
@@ -133,7 +147,7 @@
 
 // Data implements transport.Handler.
 func (c *client) Data(b []byte) {
-	if c.closing || c.overflowed {
+	if c.closing || c.overflow != nil {
 		return
 	}
 	c.parser.Write(b)
@@ -143,15 +157,36 @@
 	// Bounds the memory for a client that pipelines without limit. Requests that have been
 	// received completely are still answered.
 	if c.current != nil && c.parser.Buffered()+c.pipelined.size() > maxBufferedBytes {
-		c.overflowed = true
+		c.overflow = errTooMuchAtOnce
+	}
+	c.chargeInput()
+}
+
+// chargeInput accounts for the memory that the client's input takes.
+func (c *client) chargeInput() {
+	if !c.closing {
+		c.input.Set(int64(c.parser.Held() + c.pipelined.size()))
+	}
+}
+
+// Shed implements memory.Holder. It refuses what the client has sent and the mixer has not begun
+// with. Requests that were received completely are refused in their turn.
+func (c *client) Shed() {
+	c.f.sampledLog.Info().Int64("bytes", c.input.Held()).Msg("requests of a client refused: too much is held for clients")
+	c.overflow = errTooMuchHeld
+	c.pipelined.refuse()
+	c.parser, c.arrivalTimes = http1.NewRequestParser(), arrivals{}
+	c.input.Set(int64(c.pipelined.size()))
+	if c.current == nil {
+		c.f.core.After(0, c.serveNext) // not at once: the caller may be about to serve another request
 	}
 }
 
 // Truncated implements transport.Truncated. Bytes of the client were dropped, so nothing after
 // them can be parsed.
 func (c *client) Truncated() {
-	if !c.closing {
-		c.overflowed = true
+	if !c.closing && c.overflow == nil {
+		c.overflow = errTooMuchAtOnce
 		c.serveNext()
 	}
 }
@@ -159,16 +194,16 @@
 // serveNext handles complete requests until one has to wait for its answer.
 func (c *client) serveNext() {
 	for c.current == nil && !c.closing {
-		m, at, err := c.nextRequest()
+		next, err := c.nextRequest()
 		if err != nil {
 			c.rejectMalformed(err)
 			return
 		}
-		if m == nil && c.overflowed {
-			c.rejectMalformed(&http1.Error{Status: 413, Reason: "too much at once"})
+		if next == nil && c.overflow != nil {
+			c.rejectMalformed(c.overflow)
 			return
 		}
-		if m == nil {
+		if next == nil {
 			if !c.parser.Started() {
 				c.requestStartedAt = 0
 			} else if c.requestStartedAt == 0 {
@@ -182,9 +217,19 @@
 		}
 		c.requestStartedAt, c.hasRequested = 0, true
 		c.f.audit.Received++
-		c.serve(m, at)
+		if next.refused {
+			c.refuse(next.message.Close)
+			continue
+		}
+		c.serve(next.message, next.receivedAt)
 	}
 	c.limitCurrent()
+	c.chargeInput()
+}
+
+// refuse answers a request that was not kept.
+func (c *client) refuse(closes bool) {
+	c.reply(errTooMuchHeld.Status, "text/plain", []byte(errTooMuchHeld.Reason+"\n"), front.OverloadRetryAfter, closes)
 }
 
 // rejectMalformed answers with the status of an http1.Error, or 400, and closes the connection.
@@ -195,6 +240,10 @@
 	}
 	c.f.sampledLog.Info().Int("status", status).Str("why", why).Msg("request refused as malformed")
 	c.f.audit.Received++ // the rejection counts as an answer
+	if status == errTooMuchHeld.Status {
+		c.refuse(true)
+		return
+	}
 	c.reply(status, "text/plain", []byte(why+"\n"), 0, true)
 }
 
@@ -386,10 +435,16 @@
 		return
 	}
 	c.closing, c.closeDeadline = true, c.f.core.Now()+front.LingerTimeout
-	c.parser, c.arrivalTimes, c.pipelined = http1.NewRequestParser(), arrivals{}, nil // frees the buffered input
+	c.releaseInput()
 	c.conn.Finish(transport.LocalDone)
 }
 
+// releaseInput frees the buffered input.
+func (c *client) releaseInput() {
+	c.parser, c.arrivalTimes, c.pipelined = http1.NewRequestParser(), arrivals{}, nil
+	c.input.Set(0)
+}
+
 // HalfClosed implements transport.Handler. In this protocol a client that stops sending has
 // closed its connection: TCP signals a close and the shutdown of one direction by the same FIN.
 // No attempt may start for it from here on, so its query ends in this turn, before the next step
@@ -413,6 +468,7 @@
 func (c *client) abandonOpen(e transport.End) {
 	c.logInterrupted(e)
 	c.closing = true
+	c.releaseInput()
 	if r := c.current; r != nil {
 		c.current = nil
 		c.f.audit.Abandoned++
@@ -425,7 +481,9 @@
 
 // hasPendingInput reports whether a request that is not being answered yet has been received,
 // completely or in part.
-func (c *client) hasPendingInput() bool { return c.parser.Started() || len(c.pipelined) > 0 }
+func (c *client) hasPendingInput() bool {
+	return c.parser.Started() || len(c.pipelined) > 0 || c.overflow != nil
+}
 
 // mayClose reports whether the connection may be closed without a further answer.
 func (c *client) mayClose() bool {
--- a/internal/h2/conn.go
+++ b/internal/h2/conn.go
@@ -19,7 +19,10 @@
 	maxFrameBytes       = 16 << 10  // bytes of a frame's payload: the smallest maximum that HTTP/2 allows
 	maxHeaderListBytes  = 16 << 10  // bytes of a list of header fields, uncompressed
 	maxHeaderBlockBytes = 32 << 10  // bytes of the frames of a header block, with its continuations
+	maxKeptBufferBytes  = 4 << 10   // bytes of a buffer that a connection keeps while it rests
+	hpackTableBytes     = 4 << 10   // bytes of the table of header fields
 	maxStreams          = 128       // streams that the peer may have open, or that are opened on it
+	maxFields           = 128       // header fields of a list
 	maxResets           = 512       // streams that a client may cancel without an answer to any stream in between
 	streamWindow        = 64 << 10  // receive window of a stream in bytes
 	defaultWindow       = 65535     // HTTP/2's initial window in bytes, of a connection and of a stream
@@ -52,6 +55,8 @@
 	src            bytes.Reader
 	dst            bytes.Buffer
 	framer         *http2.Framer
+	longestFrame   int // bytes of the longest that framer has read
+	decoder        *hpack.Decoder
 	encoder        *hpack.Encoder
 	headerBlock    bytes.Buffer
 
@@ -91,10 +96,8 @@
 func New(server bool, h Handler, write func([]byte) int64) *Conn {
 	c := &Conn{server: server, h: h, write: write, streams: map[uint32]*Stream{}, nextID: 1, sendWindow: defaultWindow,
 		initialWindow: defaultWindow, maxSendFrame: maxFrameBytes, maxPeerStreams: maxStreams}
-	c.framer = http2.NewFramer(&c.dst, &c.src)
-	c.framer.SetMaxReadFrameSize(maxFrameBytes)
-	c.framer.ReadMetaHeaders = hpack.NewDecoder(4096, nil)
-	c.framer.MaxHeaderListSize = maxHeaderListBytes
+	c.decoder = hpack.NewDecoder(hpackTableBytes, nil)
+	c.newFramer()
 	c.encoder = hpack.NewEncoder(&c.headerBlock)
 	settings := []http2.Setting{{ID: http2.SettingInitialWindowSize, Val: streamWindow},
 		{ID: http2.SettingMaxHeaderListSize, Val: maxHeaderListBytes}}
@@ -110,6 +113,16 @@
 	return c
 }
 
+// newFramer replaces the framer, and releases the buffer in which it keeps the longest frame that it
+// has read. It may be called between header blocks, as the state of the framer spans these only.
+func (c *Conn) newFramer() {
+	c.framer = http2.NewFramer(&c.dst, &c.src)
+	c.framer.SetMaxReadFrameSize(maxFrameBytes)
+	c.framer.ReadMetaHeaders = c.decoder
+	c.framer.MaxHeaderListSize = maxHeaderListBytes
+	c.longestFrame = 0
+}
+
 // flush sends the buffered frames and returns the offset of the last byte sent.
 func (c *Conn) flush() int64 {
 	if c.dst.Len() == 0 {
@@ -120,6 +133,17 @@
 	return c.write(b)
 }
 
+// Held returns the bytes of memory that frames take which have not arrived completely.
+func (c *Conn) Held() int { return cap(c.in) }
+
+// DropInput drops a frame that has not arrived completely, after which nothing more can be received,
+// and tells the peer to open no more streams. Open streams can still be written to.
+func (c *Conn) DropInput() {
+	c.err = connectionError{http2.ErrCodeEnhanceYourCalm, "a frame stayed unfinished"}
+	c.GoAway()
+	c.releaseInput()
+}
+
 // Partial reports whether part of a frame has arrived.
 func (c *Conn) Partial() bool { return len(c.in) > 0 }
 
@@ -142,14 +166,22 @@
 
 func (e connectionError) Error() string { return fmt.Sprintf("%v: %s", e.code, e.reason) }
 
-// Receive processes bytes from the peer and calls the Handler for them. After an error, for which
+// Receive processes bytes from the peer, which it may keep, and calls the Handler for them. After an error, for which
 // a GOAWAY has been sent, the caller has to close the connection.
 func (c *Conn) Receive(b []byte) error {
 	if c.err != nil {
 		return c.err
 	}
-	c.in = append(c.in, b...)
+	if len(c.in) == 0 {
+		c.in = b[:len(b):len(b)]
+	} else {
+		c.in = append(c.in, b...)
+	}
+	received := len(c.in)
 	c.err = c.readFrames()
+	if c.err == nil && len(c.in) < received {
+		c.in = bytes.Clone(c.in) // releases what came before
+	}
 	if c.err != nil {
 		code := http2.ErrCodeProtocol
 		var own connectionError
@@ -165,9 +197,20 @@
 		_ = c.framer.WriteGoAway(c.lastID, code, nil)
 	}
 	c.flush()
+	if c.err != nil {
+		c.releaseInput()
+	} else if c.longestFrame > maxKeptBufferBytes && len(c.in) == 0 {
+		c.newFramer()
+	}
 	return c.err
 }
 
+// releaseInput frees what is kept for frames to come, of which there will be none.
+func (c *Conn) releaseInput() {
+	c.in, c.decoder = nil, hpack.NewDecoder(0, nil)
+	c.newFramer()
+}
+
 // readFrames processes all complete frames in c.in.
 func (c *Conn) readFrames() error {
 	if n := min(c.missingPreface, len(c.in)); n > 0 {
@@ -182,6 +225,20 @@
 		if n == 0 || err != nil {
 			return err
 		}
+		if http2.FrameType(c.in[3]) == http2.FrameData {
+			frame := c.in[:n]
+			if c.in = c.in[n:]; len(c.in) == 0 {
+				c.in = nil
+			}
+			if err := c.receiveData(frame); err != nil {
+				return err
+			}
+			continue
+		}
+		if http2.FrameType(c.in[3]) == http2.FrameHeaders && countFields(c.in[:n]) > maxFields {
+			return connectionError{http2.ErrCodeEnhanceYourCalm, "too many header fields"}
+		}
+		c.longestFrame = max(c.longestFrame, n)
 		c.src.Reset(c.in[:n])
 		f, err := c.framer.ReadFrame()
 		c.in = c.in[n:]
@@ -254,8 +311,6 @@
 		return c.handleSettings(f)
 	case *http2.MetaHeadersFrame:
 		return c.handleHeaders(f)
-	case *http2.DataFrame:
-		return c.handleData(f)
 	case *http2.WindowUpdateFrame:
 		return c.handleWindowUpdate(f)
 	case *http2.RSTStreamFrame:
@@ -343,16 +398,44 @@
 	return s
 }
 
-func (c *Conn) handleData(f *http2.DataFrame) error {
-	n := int64(f.Length)
+// receiveData handles a whole DATA frame. The framer, which copies every frame into a buffer of its
+// own, is passed by.
+func (c *Conn) receiveData(frame []byte) error {
+	const streamIDMask = 1<<31 - 1
+	d := dataFrame{streamID: binary.BigEndian.Uint32(frame[5:]) & streamIDMask, data: frame[frameHeaderBytes:],
+		length: int64(len(frame) - frameHeaderBytes)}
+	flags := http2.Flags(frame[4])
+	if d.streamID == 0 {
+		return connectionError{http2.ErrCodeProtocol, "DATA without a stream"}
+	}
+	if flags.Has(http2.FlagDataPadded) {
+		if len(d.data) == 0 || int(d.data[0]) > len(d.data)-1 {
+			return connectionError{http2.ErrCodeProtocol, "padding longer than its frame"}
+		}
+		d.data = d.data[1 : len(d.data)-int(d.data[0])]
+	}
+	d.end = flags.Has(http2.FlagDataEndStream)
+	return c.handleData(d)
+}
+
+// dataFrame is a DATA frame.
+type dataFrame struct {
+	streamID uint32
+	length   int64 // bytes of the payload with its padding, which flow control counts
+	data     []byte
+	end      bool // it ends the peer's side of the stream
+}
+
+func (c *Conn) handleData(f dataFrame) error {
+	n := f.length
 	c.consumed += n
 	if c.consumed >= defaultWindow/2 {
 		_ = c.framer.WriteWindowUpdate(0, uint32(c.consumed))
 		c.consumed = 0
 	}
-	s := c.streams[f.StreamID]
+	s := c.streams[f.streamID]
 	if s == nil {
-		if c.server && f.StreamID > c.lastID || !c.server && f.StreamID >= c.nextID {
+		if c.server && f.streamID > c.lastID || !c.server && f.streamID >= c.nextID {
 			return connectionError{http2.ErrCodeProtocol, "DATA on a stream that was never open"}
 		}
 		return nil // of a stream that has ended
@@ -364,8 +447,8 @@
 	if s.receiveWindow -= n; s.receiveWindow < 0 {
 		return connectionError{http2.ErrCodeFlowControl, "DATA exceeds the receive window"}
 	}
-	s.peerBegun, s.peerEnded = true, f.StreamEnded()
-	c.h.Data(s, f.Data(), s.peerEnded)
+	s.peerBegun, s.peerEnded = true, f.end
+	c.h.Data(s, f.data, s.peerEnded)
 	if s.closed {
 		return nil
 	}
--- a/internal/h2/grpc.go
+++ b/internal/h2/grpc.go
@@ -51,11 +51,16 @@
 			break
 		}
 		list = append(list, m.buf[messageHeaderBytes:end:end])
-		m.buf = m.buf[end:]
+		if m.buf = m.buf[end:]; len(m.buf) == 0 {
+			m.buf = nil // the message is kept without what would be appended behind it
+		}
 	}
 	return list, nil
 }
 
+// Held returns the bytes of memory that unfinished messages take.
+func (m *MessageParser) Held() int { return cap(m.buf) }
+
 // Partial reports whether part of a message has arrived.
 func (m *MessageParser) Partial() bool { return len(m.buf) > 0 }
 
