Requests of clients that have left behind unread bytes begin far less

Cause: what a client sent beyond the bound was still read, copied and dropped a piece in each round of the poller, and whether a client has left was known only by the poller's word.

Change: what is dropped is dropped in the kernel, at once; before a request that has waited for earlier ones begins, the system is asked whether the client has left, and what can be read is read first.

--- a/bench/core_test.go
+++ b/bench/core_test.go
@@ -189,6 +189,8 @@
 func (c *client) Close(transport.End)       {}
 func (c *client) CloseIfReset()             {}
 func (c *client) InputDrained() bool        { return true }
+func (c *client) DiscardInput() bool        { return false }
+func (c *client) PeerGone() bool            { return false }
 func (c *client) InputDelay() time.Duration { return 0 }
 func (c *client) Flushed() bool             { return true }
 func (c *client) Finish(transport.End)      {}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -60,6 +60,12 @@
 	Flushed() bool
 	// InputDelay returns, within Data, how long its bytes have waited since they arrived.
 	InputDelay() time.Duration
+	// DiscardInput drops what the client sends from now on, unread. It returns whether there was
+	// anything, so that more may be on its way.
+	DiscardInput() bool
+	// PeerGone reports whether the client has closed the connection, even if bytes that it sent
+	// before have not been read.
+	PeerGone() bool
 	// InputDrained reports whether no bytes from the client are waiting to be handled.
 	InputDrained() bool
 	// Finish ends reading and writing: what has been written is still sent. The caller has
--- a/internal/front/platform/diagnostics.go
+++ b/internal/front/platform/diagnostics.go
@@ -17,7 +17,7 @@
 // that was being closed, so that its client has to send it again.
 func (c *client) LateData(b []byte) {
 	i := bytes.Index(bytes.ToLower(b), requestIDField)
-	if i < 0 {
+	if i < 0 || !c.closing {
 		return
 	}
 	id, _, _ := bytes.Cut(b[i+len(requestIDField):], []byte("\r"))
--- a/internal/front/platform/pipeline.go
+++ b/internal/front/platform/pipeline.go
@@ -10,6 +10,10 @@
 const (
 	maxPipelined     = 64  // requests that are parsed ahead while one is being answered
 	assumedHeadBytes = 512 // bytes counted for a request besides its body
+	// inputCheckInterval is how often a connection is looked at whose input has to be read first.
+	inputCheckInterval = 5 * time.Millisecond
+	// maxDiscardWait is how long requests wait for the end of what their client sends and is dropped.
+	maxDiscardWait = 250 * time.Millisecond
 	// maxAnswerDelay is how long after its deadline a request may be answered. By the operators'
 	// acceptance terms a request counts as lost half a second after it; the process may be
 	// stalled for gate.MaxProcessPause, and 50 ms are kept as a margin.
@@ -24,6 +28,7 @@
 	message    *http1.Message
 	receivedAt time.Duration
 	failBy     time.Duration // when it counts as lost if it has no answer; 0: it is malformed
+	waited     bool          // for earlier requests: its client may have left since
 	refused    bool          // it is refused in its turn; message has only Close
 }
 
@@ -60,6 +65,7 @@
 		first := c.pipelined[0]
 		c.pipelined[0] = pipelinedRequest{} // releases its message
 		c.pipelined = c.pipelined[1:]
+		first.waited = true
 		return &first, nil
 	}
 	message, err := c.parser.Next()
@@ -71,6 +77,30 @@
 	return &next, nil
 }
 
+// waitForInput reports whether the next request has to wait until more of what the client has sent is
+// read, and calls serveNext again later then. A client that sends several requests and closes its
+// connection has left, which shows only behind its last byte; a request that has waited for earlier
+// ones may be one of those. What is read is bounded: beyond maxBufferedBytes it is dropped, which takes
+// the longest that a client's and the mixer's machine may have on their way, or maxDiscardWait.
+func (c *client) waitForInput() bool {
+	switch {
+	case len(c.pipelined) == 0:
+		return false
+	case c.overflow == nil && c.conn.InputDrained():
+		return false
+	case c.overflow != nil && (c.f.core.Now() > c.discardUntil || !c.conn.DiscardInput()):
+		return false
+	}
+	if !c.awaitsInput {
+		c.awaitsInput = true
+		c.f.core.After(inputCheckInterval, func() {
+			c.awaitsInput = false
+			c.serveNext()
+		})
+	}
+	return true
+}
+
 // readAhead parses requests behind the one that is being answered. A malformed one is rejected
 // when it is its turn.
 func (c *client) readAhead() {
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -88,6 +88,8 @@
 	closeDeadline    time.Duration // if closing: when the connection is closed at the latest
 	requestStartedAt time.Duration // when the request that is being received began; 0: none is
 	arrivalTimes     arrivals
+	awaitsInput      bool            // serveNext is going to be called once more has been read
+	discardUntil     time.Duration   // with overflow: until when requests wait for the end of the input
 	overflow         *http1.Error    // set once what the client sends is not kept any more: the answer to it
 	lastAnsweredID   string          // id of the query that was answered last
 	input            *memory.Account // of parser and pipelined
@@ -156,12 +158,19 @@
 	c.readAhead()
 	// Bounds the memory for a client that pipelines without limit. Requests that have been
 	// received completely are still answered.
-	if c.current != nil && c.parser.Buffered()+c.pipelined.size() > maxBufferedBytes {
-		c.overflow = errTooMuchAtOnce
+	if (c.current != nil || c.awaitsInput) && c.parser.Buffered()+c.pipelined.size() > maxBufferedBytes {
+		c.stopReading(errTooMuchAtOnce)
 	}
 	c.chargeInput()
 }
 
+// stopReading has what the client sends from now on dropped unread, so that the end of its connection
+// is seen behind it. It is answered with why once the requests before it are.
+func (c *client) stopReading(why *http1.Error) {
+	c.overflow, c.discardUntil = why, c.f.core.Now()+maxDiscardWait
+	c.conn.DiscardInput()
+}
+
 // chargeInput accounts for the memory that the client's input takes.
 func (c *client) chargeInput() {
 	if !c.closing {
@@ -173,7 +182,7 @@
 // with. Requests that were received completely are refused in their turn.
 func (c *client) Shed() {
 	c.f.sampledLog.Info().Int64("bytes", c.input.Held()).Msg("requests of a client refused: too much is held for clients")
-	c.overflow = errTooMuchHeld
+	c.stopReading(errTooMuchHeld)
 	c.pipelined.refuse()
 	c.parser, c.arrivalTimes = http1.NewRequestParser(), arrivals{}
 	c.input.Set(int64(c.pipelined.size()))
@@ -194,6 +203,9 @@
 // serveNext handles complete requests until one has to wait for its answer.
 func (c *client) serveNext() {
 	for c.current == nil && !c.closing {
+		if c.waitForInput() {
+			return
+		}
 		next, err := c.nextRequest()
 		if err != nil {
 			c.rejectMalformed(err)
@@ -216,6 +228,10 @@
 			return
 		}
 		c.requestStartedAt, c.hasRequested = 0, true
+		if next.waited && c.conn.PeerGone() {
+			c.HalfClosed()
+			return
+		}
 		c.f.audit.Received++
 		if next.refused {
 			c.refuse(next.message.Close)
--- a/internal/front/platform/platform_test.go
+++ b/internal/front/platform/platform_test.go
@@ -53,6 +53,8 @@
 func (l *fakeConn) Close(e transport.End)     { l.closes = append(l.closes, e) }
 func (l *fakeConn) CloseIfReset()             {}
 func (l *fakeConn) InputDrained() bool        { return !l.unread }
+func (l *fakeConn) DiscardInput() bool        { return false }
+func (l *fakeConn) PeerGone() bool            { return false }
 func (l *fakeConn) InputDelay() time.Duration { return 0 }
 func (l *fakeConn) Flushed() bool             { return true }
 func (l *fakeConn) Finish(e transport.End)    { l.closes = append(l.closes, e) }
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -200,12 +200,39 @@
 	if c.closed || c.end != Open {
 		return 0
 	}
-	n, _, errno := unix.Syscall6(unix.SYS_RECVFROM, uintptr(c.fd), 0, maxKernelDiscard, unix.MSG_TRUNC|unix.MSG_DONTWAIT, 0, 0)
-	if errno != 0 || int64(n) <= 0 {
-		return 0 // nothing is there, or the poller reports the end
+	total := int64(0)
+	for range maxKernelDiscards {
+		n, _, errno := unix.Syscall6(unix.SYS_RECVFROM, uintptr(c.fd), 0, maxKernelDiscard, unix.MSG_TRUNC|unix.MSG_DONTWAIT, 0, 0)
+		if errno != 0 || int64(n) <= 0 {
+			break // nothing is there, or the poller reports the end
+		}
+		total += int64(n) // the peer may send more into the room that this makes
 	}
-	c.in.Add(int64(n))
-	return int64(n)
+	c.in.Add(total)
+	return total
+}
+
+// DiscardInput drops what the peer sends from now on, unread. Its end is still reported. It returns
+// whether the kernel held anything, so that more may be on its way.
+func (c *Conn) DiscardInput() bool {
+	c.discards.Store(true)
+	return c.discardUnread() > 0
+}
+
+// PeerGone reports whether the peer has shut down its sending side or reset the connection, which
+// the poller reports only once it has read all that came before. On a connection that discards its
+// input, what still came is dropped first, as the kernel shows the end only behind it.
+func (c *Conn) PeerGone() bool {
+	if c.discards.Load() {
+		c.discardUnread()
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || c.end != Open {
+		return true
+	}
+	info, err := unix.GetsockoptTCPInfo(c.fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+	return err == nil && (info.State == closeWait || info.State == closed)
 }
 
 // arrivalInfo returns how long the bytes that are read now have waited in the kernel, and whether
--- a/internal/transport/net.go
+++ b/internal/transport/net.go
@@ -32,8 +32,10 @@
 	firstBufferBytes = 2 << 10
 	// keptBufferBytes is the size of the buffer that netpoll keeps for each connection.
 	keptBufferBytes = 8 << 10
-	// maxKernelDiscard is how many bytes are discarded at once without being read.
-	maxKernelDiscard = 1 << 20
+	// maxKernelDiscard is how many bytes are discarded at once without being read, and
+	// maxKernelDiscards how many times in a row.
+	maxKernelDiscard  = 1 << 20
+	maxKernelDiscards = 64
 )
 
 // worker runs netpoll's callbacks for all connections on one goroutine, so that none is started
