One way to release an account, to tell a peer's end and to take a frame; no change of behaviour

Read again: the account's removal stood twice in internal/memory, the states of a connection whose peer has left twice in internal/transport, and the taking of a frame from the input twice in internal/h2; two comments are clearer.

--- a/internal/front/platform/pipeline.go
+++ b/internal/front/platform/pipeline.go
@@ -80,8 +80,8 @@
 // waitForInput reports whether the next request has to wait until more of what the client has sent is
 // read, and calls serveNext again later then. A client that sends several requests and closes its
 // connection has left, which shows only behind its last byte; a request that has waited for earlier
-// ones may be one of those. What is read is bounded: beyond maxBufferedBytes it is dropped, which takes
-// the longest that a client's and the mixer's machine may have on their way, or maxDiscardWait.
+// ones may be one of those. What is read is bounded: beyond maxBufferedBytes it is dropped, and the
+// request waits for the end of that for maxDiscardWait at most.
 func (c *client) waitForInput() bool {
 	switch {
 	case len(c.pipelined) == 0:
--- a/internal/h2/conn.go
+++ b/internal/h2/conn.go
@@ -166,7 +166,8 @@
 
 func (e connectionError) Error() string { return fmt.Sprintf("%v: %s", e.code, e.reason) }
 
-// Receive processes bytes from the peer, which it may keep, and calls the Handler for them. After an error, for which
+// Receive processes bytes from the peer, which it may keep, and calls the Handler for them. After
+// an error, for which
 // a GOAWAY has been sent, the caller has to close the connection.
 func (c *Conn) Receive(b []byte) error {
 	if c.err != nil {
@@ -225,26 +226,24 @@
 		if n == 0 || err != nil {
 			return err
 		}
-		if http2.FrameType(c.in[3]) == http2.FrameData {
-			frame := c.in[:n]
-			if c.in = c.in[n:]; len(c.in) == 0 {
-				c.in = nil
-			}
+		frame := c.in[:n]
+		if c.in = c.in[n:]; len(c.in) == 0 {
+			c.in = nil
+		}
+		switch http2.FrameType(frame[3]) {
+		case http2.FrameData:
 			if err := c.receiveData(frame); err != nil {
 				return err
 			}
 			continue
-		}
-		if http2.FrameType(c.in[3]) == http2.FrameHeaders && countFields(c.in[:n]) > maxFields {
-			return connectionError{http2.ErrCodeEnhanceYourCalm, "too many header fields"}
+		case http2.FrameHeaders:
+			if countFields(frame) > maxFields {
+				return connectionError{http2.ErrCodeEnhanceYourCalm, "too many header fields"}
+			}
 		}
 		c.longestFrame = max(c.longestFrame, n)
-		c.src.Reset(c.in[:n])
+		c.src.Reset(frame)
 		f, err := c.framer.ReadFrame()
-		c.in = c.in[n:]
-		if len(c.in) == 0 {
-			c.in = nil
-		}
 		var se http2.StreamError
 		switch {
 		case errors.As(err, &se):
--- a/internal/memory/memory.go
+++ b/internal/memory/memory.go
@@ -47,10 +47,16 @@
 // for longest sheds them, as what has stayed unfinished for longest is the least likely to be
 // finished; it may be the caller's own.
 func (a *Account) Set(n int64) {
-	b := a.budget
-	if b == nil {
+	if a.budget == nil {
 		return
 	}
+	a.record(n)
+	a.budget.enforce()
+}
+
+// record sets the bytes that are held, whatever the limit.
+func (a *Account) record(n int64) {
+	b := a.budget
 	b.used += n - a.held
 	a.held = n
 	switch {
@@ -60,7 +66,6 @@
 	case n > 0 && a.place == nil:
 		a.place = b.holders.PushBack(a)
 	}
-	b.enforce()
 }
 
 // enforce has the oldest holders shed until the limit is kept.
@@ -72,17 +77,6 @@
 		}
 		b.shed++
 		oldest.holder.Shed()
-		oldest.clear()
-	}
-}
-
-// clear releases what a holder has not released itself.
-func (a *Account) clear() {
-	if a.place == nil {
-		return
+		oldest.record(0) // if the holder has not done so itself
 	}
-	a.budget.holders.Remove(a.place)
-	a.place = nil
-	a.budget.used -= a.held
-	a.held = 0
 }
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -232,7 +232,7 @@
 		return true
 	}
 	info, err := unix.GetsockoptTCPInfo(c.fd, unix.IPPROTO_TCP, unix.TCP_INFO)
-	return err == nil && (info.State == closeWait || info.State == closed)
+	return err == nil && peerEnded(info)
 }
 
 // arrivalInfo returns how long the bytes that are read now have waited in the kernel, and whether
@@ -254,9 +254,12 @@
 	if info.Bytes_received > 0 { // a kernel that counts bytes fills in the other fields as well
 		kernelDelay = min(time.Duration(info.Last_data_recv)*time.Millisecond, maxInputDelay)
 	}
-	return kernelDelay, info.State == closeWait || info.State == closed
+	return kernelDelay, peerEnded(info)
 }
 
+// peerEnded reports whether the peer has shut down its sending side or reset the connection.
+func peerEnded(info *unix.TCPInfo) bool { return info.State == closeWait || info.State == closed }
+
 // InputDelay returns how long the bytes of the present Data have waited since they arrived. It is
 // for the owner's goroutine, within Data.
 func (c *Conn) InputDelay() time.Duration { return c.inputDelay }
