Counts of turns, waiting input and unsent answers; malformed requests have a sampler of their own

Change: the line of counts has turn_us, input_wait_us, backlog_bytes and unsent_bytes, and a query that begins more than 0.1 s after its last byte is logged with its id. No behaviour changes.

--- a/cmd/kiteloft/counts.go
+++ b/cmd/kiteloft/counts.go
@@ -20,6 +20,7 @@
 	set  counts.Set
 	cpu  int64                 // microseconds used before
 	ends map[transport.End]int // connections that ended, of clients and of servers
+	net  *transport.Net
 	log  zerolog.Logger
 }
 
@@ -36,6 +37,10 @@
 	c.set.Add(counts.CPUMicros, used-c.cpu)
 	c.cpu = used
 	c.set.Add(counts.ListAgeMillis, c.core.ListAge().Milliseconds())
+	peaks := c.net.TakePeaks()
+	c.set.Add(counts.InputWaitMicros, peaks.InputWait.Microseconds())
+	c.set.Add(counts.InputBacklogBytes, peaks.Backlog)
+	c.set.Add(counts.UnsentBytes, peaks.Unsent)
 	line := c.log.Info().Int64("at_ms", time.Now().UnixMilli())
 	if len(c.ends) > 0 {
 		ends := zerolog.Dict()
--- a/cmd/kiteloft/main.go
+++ b/cmd/kiteloft/main.go
@@ -242,6 +242,7 @@
 		ended = func(s transport.Stats) { count.ended(s); flows.Add(s) }
 	}
 	net := transport.NewNet(core, transport.Limits{Conns: cfg.Sockets - ownFiles, Backlog: cfg.MemoryMB << 20 / backlogShare}, ended)
+	count.net = net
 	links := node.New(core, net, node.Limits{ConnectTimeout: set.ConnectTimeout, ConnIdle: set.ConnIdle,
 		StreamsPerConn: set.StreamsPerConn}, map[string]node.Protocol{"": node.NewFrameSession, nodeflight.Scheme: nodeflight.Protocol}, log)
 	dir := discovery.New(core, net.Direct(), cfg.Discovery, set.Zones, log)
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -401,6 +401,7 @@
 		c.onIdle = nil
 		onIdle()
 	}
+	c.counts.Add(counts.TurnMicros, (c.clock() - c.now).Microseconds())
 }
 
 // OnIdle has onIdle called once, as soon as no query is open.
--- a/internal/counts/counts.go
+++ b/internal/counts/counts.go
@@ -42,6 +42,10 @@
 	CPUMicros
 	OpenConnections
 	TimerLagMicros
+	TurnMicros
+	InputWaitMicros
+	InputBacklogBytes
+	UnsentBytes
 	ListAgeMillis
 	kindCount
 )
@@ -49,7 +53,8 @@
 var names = [kindCount]string{"taken", "crowded", "served", "short", "no_hope", "time_up", "part_lost", "unseen", "failed", "expired",
 	"deserted", "by_offset", "left_slow", "next_best", "late_copy", "stranded", "to_cold", "ok", "error", "full", "timed_out",
 	"connect_failed", "reset", "cancelled", "moot", "dialed", "dial_failed", "closed", "probes", "directory_calls", "directory_failed",
-	"list_bytes", "cpu_us", "open_links", "lag_us", "list_age_ms"}
+	"list_bytes", "cpu_us", "open_links", "lag_us",
+	"turn_us", "input_wait_us", "backlog_bytes", "unsent_bytes", "list_age_ms"}
 
 // String returns the name under which the kind is logged.
 func (k Kind) String() string { return names[k] }
--- a/internal/front/platform/diagnostics.go
+++ b/internal/front/platform/diagnostics.go
@@ -45,6 +45,16 @@
 	}
 }
 
+// logIfReadLate logs a query that is begun long after its last byte arrived at a time.
+func (c *client) logIfReadLate(id string, at time.Duration) {
+	if waited := c.f.core.ReadClock() - at; waited > readLateAfter {
+		c.f.sampledLog.Warn().Str("id", id).Dur("waited_ms", waited).Msg("query begins long after it arrived")
+	}
+}
+
+// readLateAfter is how long a query may wait for its turn before that is logged.
+const readLateAfter = 100 * time.Millisecond
+
 // lostAnswerWindow is the time after an answer in which the end of its connection may have kept
 // the client from receiving it.
 const lostAnswerWindow = 100 * time.Millisecond
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -38,6 +38,7 @@
 	tenants       map[string]int // index in the settings by name
 	classSettings []decide.Class
 	sampledLog    zerolog.Logger // for lines that clients can cause, sampled
+	malformedLog  zerolog.Logger // the same for malformed requests, which may come at full speed and crowd out the others
 	clients       map[*client]struct{}
 	limit         front.ConnectionLimit
 	closing       bool
@@ -65,7 +66,7 @@
 
 // New returns a Front for the classes and tenants. Readiness checks fail until Ready is called.
 func New(core front.Core, classes []decide.Class, tenants []decide.Tenant, limit front.ConnectionLimit, log zerolog.Logger) *Front {
-	return &Front{core: core, limit: limit, classes: front.ClassIndexes(classes), tenants: front.TenantIndexes(tenants), classSettings: classes, sampledLog: front.Sampled(log), clients: map[*client]struct{}{}}
+	return &Front{core: core, limit: limit, classes: front.ClassIndexes(classes), tenants: front.TenantIndexes(tenants), classSettings: classes, sampledLog: front.Sampled(log), malformedLog: front.Sampled(log), clients: map[*client]struct{}{}}
 }
 
 // Ready makes readiness checks succeed and starts the periodic check of connections for
@@ -254,7 +255,7 @@
 	if e, ok := err.(*http1.Error); ok {
 		status, why = e.Status, e.Reason
 	}
-	c.f.sampledLog.Info().Int("status", status).Str("why", why).Msg("request refused as malformed")
+	c.f.malformedLog.Info().Int("status", status).Str("why", why).Msg("request refused as malformed")
 	c.f.audit.Received++ // the rejection counts as an answer
 	if status == errTooMuchHeld.Status {
 		c.refuse(true)
@@ -287,12 +288,13 @@
 	}
 	q, status, why := c.f.parseQuery(m, path)
 	if status != 0 {
-		c.f.sampledLog.Info().Int("status", status).Str("why", why).Msg("request refused as malformed")
+		c.f.malformedLog.Info().Int("status", status).Str("why", why).Msg("request refused as malformed")
 		text(status, why)
 		return
 	}
 	// The deadline counts from when the request was complete. Since then it may have waited for
 	// the event loop and, if pipelined, for earlier answers.
+	c.logIfReadLate(q.WireID, at)
 	now := c.f.core.Now()
 	if q.Left -= now - at; q.Left <= 0 {
 		text(504, "out of time")
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -159,6 +159,7 @@
 		c.unhandled.Add(-int64(admitted))
 		c.net.backlog.Add(-int64(admitted))
 		c.inputDelay = time.Since(arrivedAt)
+		raise(&c.net.peaks.inputWait, int64(c.inputDelay))
 		// What the peer sent before it left is delivered. After Finish or Close nothing is.
 		if !c.muted.Load() {
 			c.h.Data(b)
@@ -289,7 +290,7 @@
 	}
 	n = int(max(0, min(int64(n), limit-c.unhandled.Load())))
 	c.unhandled.Add(int64(n))
-	c.net.backlog.Add(int64(n))
+	raise(&c.net.peaks.backlog, c.net.backlog.Add(int64(n)))
 	return n
 }
 
@@ -382,7 +383,9 @@
 	}
 	if fail == Open && len(b) > 0 {
 		// Bounds the memory used for a peer that has stopped reading.
-		if c.pending = append(c.pending, b...); len(c.pending) > maxPendingBytes {
+		c.pending = append(c.pending, b...)
+		raise(&c.net.peaks.unsent, int64(len(c.pending)))
+		if len(c.pending) > maxPendingBytes {
 			fail = PeerStalled
 		} else if !c.writing {
 			// Only a stalled connection needs a goroutine, never a request.
--- a/internal/transport/net.go
+++ b/internal/transport/net.go
@@ -122,6 +122,7 @@
 	limit   int64        // above it, each connection may hold only fairShareBytes
 	mu      sync.Mutex
 	silent  []*Conn // accepted connections on which nothing had arrived when last checked, oldest first
+	peaks   peaks
 }
 
 // dial is a request to open a connection; for its fields see Net.Dial.
