Test: usual clients beside six that send small requests at full speed, under the platform's limits

Change: internal/standin/confine runs a process on one core, with a share of its time, a limit of descriptors and of memory, without privileges.

--- a/cmd/kiteloft/bed_test.go
+++ b/cmd/kiteloft/bed_test.go
@@ -16,6 +16,7 @@
 
 	"kiteloft/internal/standin"
 	"kiteloft/internal/standin/callfaults"
+	"kiteloft/internal/standin/confine"
 )
 
 // The bed starts the real program with stand-ins round it, over either protocol.
@@ -24,6 +25,7 @@
 
 func TestMain(m *testing.M) {
 	callfaults.Launch(os.Args[1:])
+	confine.Launch(os.Args[1:])
 	dir, err := os.MkdirTemp("", "kiteloft")
 	if err != nil {
 		panic(err)
@@ -146,6 +148,8 @@
 	torn      time.Duration              // for so long only half of the configuration is there
 	launcher  bool                       // the mixer's system calls may fail
 	faults    *callfaults.Process
+	limits    *confine.Limits // under which the mixer runs; nil: none
+	watch     *confine.Watch  // enforces them
 }
 
 // start runs a mixer over two stock nodes that hold every shard.
@@ -226,18 +230,29 @@
 	} else {
 		attached <- nil
 	}
+	if b.limits != nil {
+		command := b.limits.Command(os.Args[0], append([]string{path}, args...)...)
+		path, args = command[0], command[1:]
+	}
 	var err error
 	b.Mixer, err = standin.Start(standin.Setup{Program: path, Args: args, Dir: dir, Settings: settings, Discovery: b.discovery, Known: b.members,
 		Listen: b.listen, Torn: b.torn, Sockets: b.sockets, MemoryMB: b.memoryMB, Broker: "[flight]\nlisten = \"127.0.0.1:0\"\n[ipfix]\ncollector = \"" + b.collector + "\"\n" + b.extra})
 	if err := errors.Join(err, <-attached); err != nil {
 		t.Fatal(err)
 	}
+	if b.limits != nil {
+		b.watch = confine.NewWatch(b.Cmd.Process.Pid, *b.limits)
+	}
 	t.Cleanup(func() { b.stop(t) })
 }
 
 // stop ends the mixer as a planned restart does; it has to end by itself.
 func (b *bed) stop(t *testing.T) {
 	http.DefaultClient.CloseIdleConnections() // a client that stays is served for longer
+	if b.watch != nil {
+		b.watch.Stop()
+		b.watch = nil
+	}
 	if err := b.Mixer.Stop(); err != nil {
 		t.Error(err)
 	}
--- a/cmd/kiteloft/memory_test.go
+++ b/cmd/kiteloft/memory_test.go
@@ -29,6 +29,7 @@
 	loadTime       = 3 * time.Second        // for which bad clients go on; twice as long where KITELOFT_MEASURE is set
 	loadsAtOnce    = 2                      // mixers under load at the same time
 	soundInterval  = 50 * time.Millisecond  // between queries of usual clients
+	warmUpTime     = 500 * time.Millisecond // of usual clients alone, before bad ones come
 	maxLateness    = 500 * time.Millisecond // of a usual client's answer, after its time
 	memoryInterval = 5 * time.Millisecond   // between looks at the mixer's memory
 )
@@ -96,6 +97,8 @@
 
 // soundClients asks as usual clients do, and adds up what becomes of it.
 type soundClients struct {
+	interval        time.Duration   // between queries
+	deadlines       []time.Duration // of the queries, in turn
 	mu              sync.Mutex
 	kinds           map[string]int
 	missing         int
@@ -125,13 +128,12 @@
 	s.kinds[res.Kind]++
 }
 
-// run asks every soundInterval until stop is closed, and waits for the answers.
+// run asks every interval until stop is closed, and waits for the answers.
 func (s *soundClients) run(addr string, stop <-chan struct{}) {
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
 	defer client.CloseIdleConnections()
 	s.kinds = map[string]int{}
-	deadlines := []time.Duration{400 * time.Millisecond, time.Second, 4 * time.Second}
-	tick := time.NewTicker(soundInterval)
+	tick := time.NewTicker(s.interval)
 	defer tick.Stop()
 	for i := 0; ; i++ {
 		select {
@@ -139,7 +141,7 @@
 			s.asked.Wait()
 			return
 		case <-tick.C:
-			s.asked.Go(func() { s.ask(client, addr, deadlines[i%len(deadlines)]) })
+			s.asked.Go(func() { s.ask(client, addr, s.deadlines[i%len(s.deadlines)]) })
 		}
 	}
 }
@@ -166,14 +168,15 @@
 				t.Parallel()
 				slots <- struct{}{}
 				defer func() { <-slots }()
-				underBadClients(t, bad, memoryMB, length)
+				underBadClients(t, &bed{memoryMB: memoryMB}, bad, length)
 			})
 		}
 	}
 }
 
-func underBadClients(t *testing.T, bad badClient, memoryMB int, length time.Duration) {
-	b := &bed{memoryMB: memoryMB}
+// underBadClients starts the mixer of b and checks its memory and the answers of usual clients while
+// bad ones use it.
+func underBadClients(t *testing.T, b *bed, bad badClient, length time.Duration) {
 	b.pair(t, platformWire{}, func(p part) reply { r := sound(p); r.After = 20 * time.Millisecond; return r }, func(string, int) bool { return true })
 	b.run(t, strings.Replace(settings, `"max_open":60`, `"max_open":210`, 1))
 	for _, n := range b.nodes {
@@ -181,10 +184,14 @@
 	}
 	idle := residentKB(b.Cmd.Process.Pid, allResident)
 	memory := watchMemory(b)
-	var usual soundClients
+	usual := soundClients{interval: soundInterval, deadlines: []time.Duration{400 * time.Millisecond, time.Second, 4 * time.Second}}
+	if b.limits != nil {
+		usual.interval, usual.deadlines = fullSpeedInterval, []time.Duration{fullSpeedDeadline}
+	}
 	soundStop, badStop := make(chan struct{}), make(chan struct{})
 	var all sync.WaitGroup
 	all.Go(func() { usual.run(b.Listen(), soundStop) })
+	time.Sleep(warmUpTime)
 	addr := b.Listen()
 	if bad.flight {
 		addr = b.Flight()
