Transport: bytes of a connection that ends are taken off the count of the backlog

Cause: bytes that were read from a node that floods, or on a connection that ended in the middle of a read, were counted as waiting for the core and never taken off. Above the limit, every connection is held to 96 KiB for as long as the process lives. The count is now released on each of these ways out.

--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -127,18 +127,19 @@
 	arrivedAt := time.Now().Add(-kernelDelay)
 	c.in.Add(int64(n))
 	c.reads.Add(1)
-	admitted := 0
+	admitted, charged := 0, int64(0)
 	if !c.discards.Load() {
-		admitted = c.admitted(n)
+		admitted, charged = c.admitted(n)
 	} else if c.discarded == 0 {
 		c.reportLateData(r, n)
 	}
 	p, err := r.Next(admitted)
-	if err != nil {
-		return // the connection ended; its close callback informs the handler
-	}
 	b := append([]byte(nil), p...)
-	if err := r.Skip(n - admitted); err != nil {
+	if err == nil {
+		err = r.Skip(n - admitted)
+	}
+	if err != nil { // the connection ended; its close callback informs the handler
+		c.release(charged)
 		return
 	}
 	_ = r.Release() // fails only on a closed connection
@@ -148,16 +149,17 @@
 		c.discards.Store(true)
 		c.discarded += int64(n-admitted) + c.discardUnread()
 		if c.dialed || c.discarded > maxDiscardedBytes {
+			c.release(charged)
 			c.Close(PeerFlooded)
 			return
 		}
 	}
 	if admitted == 0 && !truncated {
+		c.release(charged)
 		return
 	}
 	c.post.Post(func() {
-		c.unhandled.Add(-int64(admitted))
-		c.net.backlog.Add(-int64(admitted))
+		c.release(charged)
 		c.inputDelay = time.Since(arrivedAt)
 		raise(&c.net.peaks.inputWait, int64(c.inputDelay))
 		// What the peer sent before it left is delivered. After Finish or Close nothing is.
@@ -175,6 +177,12 @@
 	})
 }
 
+// release takes bytes off the count of those that wait for the owner's goroutine.
+func (c *Conn) release(charged int64) {
+	c.unhandled.Add(-charged)
+	c.net.backlog.Add(-charged)
+}
+
 // releaseLater has a large buffer released that netpoll read into. Release keeps the buffer while the
 // poller is about to return from this very read, as it is here: the connection would hold it for as
 // long as it is open. It runs on the worker's goroutine.
@@ -279,19 +287,20 @@
 	c.post.Post(func() { h.LateData(b) })
 }
 
-// admitted returns how many of n bytes may wait for the owner's goroutine, and counts them. It
-// bounds the memory used for peers that send faster than the owner works. The rest is dropped: a
+// admitted returns how many of n bytes may wait for the owner's goroutine, and counts them. It bounds
+// the memory used for peers that send faster than the owner works. The rest is dropped: a
 // client gets an error for the first bytes, which the owner is working on, so its connection goes
 // on discarding; a dialed connection is closed, as an answer with a gap is of no use.
-func (c *Conn) admitted(n int) int {
+func (c *Conn) admitted(n int) (admitted int, charged int64) {
 	limit := int64(maxUnhandledBytes)
 	if c.net.backlog.Load() > c.net.limit {
 		limit = fairShareBytes
 	}
-	n = int(max(0, min(int64(n), limit-c.unhandled.Load())))
-	c.unhandled.Add(int64(n))
-	raise(&c.net.peaks.backlog, c.net.backlog.Add(int64(n)))
-	return n
+	admitted = int(max(0, min(int64(n), limit-c.unhandled.Load())))
+	charged = int64(admitted)
+	c.unhandled.Add(charged)
+	raise(&c.net.peaks.backlog, c.net.backlog.Add(charged))
+	return admitted, charged
 }
 
 func (c *Conn) ended() bool {
@@ -499,6 +508,13 @@
 	return !c.writing && len(c.pending) == 0
 }
 
+// Unsent returns how many bytes wait until the kernel accepts them.
+func (c *Conn) Unsent() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.pending)
+}
+
 // InputDrained reports whether the owner has been given all that the peer has sent, as far as can
 // be known. A request that was read before the connection is closed must be answered; the client
 // may send one that was not read again.
