Transport: small reads are charged for the memory that they take

Callers saw: a mixer of 32 MB passed its limit beside clients that write one small request at a time at full speed. Cause: 256 KiB of a connection may wait for the core, counted in bytes of input; a read of 40 bytes takes some 200 more. Each read is now charged 256 bytes besides.

Measured: TestSmallReadsAreChargedForTheirMemory failed before, with 2,048 reads of a byte waiting where 1,025 may.

--- a/internal/transport/backlog_test.go
+++ b/internal/transport/backlog_test.go
@@ -57,3 +57,27 @@
 		t.Errorf("%d bytes are counted as waiting, though none do", left)
 	}
 }
+
+// TestSmallReadsAreChargedForTheirMemory guards against memory that is many times the bound on waiting
+// bytes, with a peer that sends a few bytes at a time while the owner is busy.
+func TestSmallReadsAreChargedForTheirMemory(t *testing.T) {
+	posted, conns := make(heldOwner, 100_000), make(chan *Conn, 1)
+	n := NewNet(posted, Limits{Conns: 10, Backlog: 1 << 30}, nil)
+	ln, err := n.Listen("127.0.0.1:0", func(c *Conn) Handler { conns <- c; return &recorder{} })
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	peer := connect(t, ln)
+	c := <-conns
+	const reads = 2 * maxUnhandledBytes / chunkOverheadBytes
+	for i := int64(1); i <= reads; i++ {
+		if _, err := peer.Write([]byte("x")); err != nil {
+			t.Fatal(err)
+		}
+		waitUntil(t, "the byte was read", func() bool { return c.in.Load() >= i })
+	}
+	if most := maxUnhandledBytes/chunkOverheadBytes + 1; len(posted) > most {
+		t.Errorf("%d reads wait for the owner, at most %d may", len(posted), most)
+	}
+}
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -16,6 +16,7 @@
 	maxPendingBytes       = 1 << 20                // bytes that may wait for a peer that reads slowly; more ends the connection
 	maxUnhandledBytes     = 256 << 10              // bytes read on one connection that may wait for the owner's goroutine
 	fairShareBytes        = 96 << 10               // the same while the backlog of all connections is above its limit: room for a client's longest request
+	chunkOverheadBytes    = 256                    // memory that bytes take besides, which are read at once and wait for the owner's goroutine
 	maxDiscardedBytes     = 80 << 20               // bytes discarded while a client reads what was written before Finish
 	stallTimeout          = 2 * time.Second        // how long a peer may read nothing of what waits for it
 	minWriteRetryInterval = time.Millisecond       // pause after a write that the kernel did not accept; doubled up to
@@ -287,8 +288,8 @@
 	c.post.Post(func() { h.LateData(b) })
 }
 
-// admitted returns how many of n bytes may wait for the owner's goroutine, and counts them. It bounds
-// the memory used for peers that send faster than the owner works. The rest is dropped: a
+// admitted returns how many of n bytes may wait for the owner's goroutine, and counts them as the
+// memory that they take. It bounds the memory used for peers that send faster than the owner works. The rest is dropped: a
 // client gets an error for the first bytes, which the owner is working on, so its connection goes
 // on discarding; a dialed connection is closed, as an answer with a gap is of no use.
 func (c *Conn) admitted(n int) (admitted int, charged int64) {
@@ -296,8 +297,8 @@
 	if c.net.backlog.Load() > c.net.limit {
 		limit = fairShareBytes
 	}
-	admitted = int(max(0, min(int64(n), limit-c.unhandled.Load())))
-	charged = int64(admitted)
+	admitted = int(max(0, min(int64(n), limit-c.unhandled.Load()-chunkOverheadBytes)))
+	charged = int64(admitted + chunkOverheadBytes)
 	c.unhandled.Add(charged)
 	raise(&c.net.peaks.backlog, c.net.backlog.Add(charged))
 	return admitted, charged
