Core and fronts: what one client has sent is handled in pieces, others have their turn in between

Cause: each turn of the event loop took all that had been read, and a front handled all requests in it at once. 256 KiB may wait for each connection, some 6,500 requests for readiness with an answer each; six such connections made one turn of 1.6 s at 0.4 of a core. Other clients' bytes, servers' answers and timers, which give every query its answer in time, came after that. The same loop over frames of HTTP/2 stood on the Flight front. Class: work for one peer in one turn has no bound.

Change: a client is served for 0.2 ms at a time; the rest, and whatever comes once a turn has lasted 4 ms, is handled by background tasks, one piece in each turn, with a pause of 50 us in which the goroutines that read have the processor. A client whose answers wait for it to read (over 64 KiB) is not served on. Flight input that waits is bounded by 256 KiB, and a Flight connection of which bytes were dropped is refused, where it was left waiting before.

Why it works: a turn is bounded whatever one peer sends, so a query waits for some turns and not for what others have sent; timers run in each turn.

--- a/bench/core_test.go
+++ b/bench/core_test.go
@@ -193,6 +193,7 @@
 func (c *client) PeerGone() bool            { return false }
 func (c *client) InputDelay() time.Duration { return 0 }
 func (c *client) Flushed() bool             { return true }
+func (c *client) Unsent() int               { return 0 }
 func (c *client) Finish(transport.End)      {}
 
 // unlimitedConnections is a connection limit that is never near.
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -167,6 +167,7 @@
 	lastStormCheck time.Duration
 	inbox          mailbox
 	timers         timers
+	background     backgroundTasks
 	now            time.Duration
 
 	events       []decide.Event
@@ -371,11 +372,15 @@
 			due, ok = t, true
 		}
 	}
-	return max(0, due-c.clock()), ok
+	sleep := max(0, due-c.clock())
+	if len(c.background.list) > 0 && (!ok || sleep > backgroundPause) {
+		return backgroundPause, true
+	}
+	return sleep, ok
 }
 
 // RunOnce runs one iteration of the event loop: the posted functions, the timers that are
-// due, and then a step of the module. It is called by Run, or in its place by a caller
+// due, a step of the module, and then background tasks. It is called by Run, or in its place by a caller
 // that controls the clock, as a benchmark does.
 func (c *Core) RunOnce() {
 	c.now = c.clock()
@@ -393,6 +398,7 @@
 	if len(c.events) > 0 && c.now >= c.lastStep+c.config.Module.Tick {
 		c.step()
 	}
+	c.runBackground()
 	if c.now >= c.lastStormCheck+stormCheckInterval {
 		c.checkStorm()
 	}
--- a/internal/front/flight/flight.go
+++ b/internal/front/flight/flight.go
@@ -39,6 +39,9 @@
 const (
 	servicePath     = "/arrow.flight.protocol.FlightService/"
 	maxMessageBytes = 128 << 10 // bytes of a client's message: a query of 64 KiB and its envelope
+	// maxBufferedBytes is how many bytes of a connection may wait to be handled: more than the windows
+	// of HTTP/2 allow, and heads of as many calls as may be open.
+	maxBufferedBytes = 256 << 10
 	// unfinishedCallBytes is what a call takes besides the text of its request.
 	unfinishedCallBytes = 1 << 10
 	answerReadTimeout   = 5 * time.Second // for the client to read a finished answer
@@ -88,6 +91,7 @@
 	h2            *h2.Conn
 	calls         map[*call]struct{}
 	refused       bool            // nothing of the client is read any more
+	processLater  bool            // process is going to be called for frames that are left
 	halfClosed    bool            // the client has shut down its sending side
 	hasCalled     bool            // at least one call has begun
 	closeDeadline time.Duration   // when a connection that is finishing is closed; 0: it is not finishing
@@ -145,24 +149,82 @@
 		return
 	}
 	c.lastDataAt = c.f.core.Now()
-	if err := c.h2.Receive(b); err != nil {
+	c.h2.Add(b)
+	switch {
+	case c.processLater && c.h2.Held() > maxBufferedBytes:
+		c.Truncated()
+	case c.processLater:
+		c.chargeInput()
+	case c.f.core.TurnSpent():
+		c.processInBackground()
+		c.chargeInput()
+	default:
+		c.process()
+	}
+}
+
+// process handles frames until none is left, or until other clients have their turn.
+func (c *client) process() {
+	if c.refused || c.closeDeadline > 0 {
+		return
+	}
+	if c.conn.Unsent() > front.MaxUnsent { // bounds the memory that answers take
+		c.processLater = true
+		c.f.core.After(front.OutputCheckInterval, c.processAgain)
+		return
+	}
+	until := c.f.core.ReadClock() + front.PieceTime
+	more, err := c.h2.Process(func() bool { return c.f.core.ReadClock() < until })
+	if err != nil {
 		c.f.malformedLog.Info().Err(err).Msg("Flight client broke HTTP/2")
 		c.startClosing()
 		return
 	}
+	if more {
+		c.processInBackground()
+	}
+	c.chargeInput()
+}
+
+// processInBackground has the frames that are left handled as a background task.
+func (c *client) processInBackground() {
+	c.processLater = true
+	c.f.core.InBackground(c.processAgain)
+}
+
+// processAgain handles frames that were left.
+func (c *client) processAgain() {
+	c.processLater = false
+	c.process()
+}
+
+// chargeInput accounts for the memory that frames take which were not handled.
+func (c *client) chargeInput() {
 	if c.closeDeadline == 0 && !c.refused {
 		c.input.Set(int64(c.h2.Held()))
 	}
 }
 
-// Shed implements memory.Holder. It refuses the calls whose requests are unfinished, and drops an
-// unfinished frame, so that nothing more can be read. Calls that are being served get their answers,
-// and then the connection is closed.
+// Shed implements memory.Holder.
 func (c *client) Shed() {
+	c.f.malformedLog.Info().Msg("Flight connection with unfinished requests refused: too much is held for clients")
+	c.refuseInput()
+}
+
+// Truncated implements transport.Truncated. Bytes of the client were dropped, so nothing after them
+// can be read.
+func (c *client) Truncated() {
+	c.f.malformedLog.Info().Msg("Flight connection refused: too much at once")
+	c.refuseInput()
+}
+
+// refuseInput refuses the calls whose requests are unfinished, and drops frames that were not handled,
+// so that nothing more can be read. Calls that are being served get their answers, and then the
+// connection is closed.
+func (c *client) refuseInput() {
 	if c.refused || c.closeDeadline > 0 {
 		return
 	}
-	c.f.malformedLog.Info().Msg("Flight connection with unfinished requests refused: too much is held for clients")
 	c.refused = true
 	c.h2.DropInput()
 	c.input.Set(0)
@@ -458,7 +520,7 @@
 // calls still get their answers, because the client may be reading. A client that has closed
 // the whole connection answers the ping with a reset.
 func (c *client) HalfClosed() {
-	if c.halfClosed = true; c.h2.Streams() == 0 {
+	if c.halfClosed = true; c.h2.Streams() == 0 && !c.processLater {
 		c.conn.Close(transport.LocalDone)
 		return
 	}
@@ -493,7 +555,7 @@
 				k.endWithStatus(h2.Status{Code: codes.DeadlineExceeded, Message: "the call was not whole in time"})
 			}
 		}
-		verdict := gate.Close(gate.Connection{Open: c.h2.Streams() > 0, UnreadBytes: !c.halfClosed && !c.conn.InputDrained()})
+		verdict := gate.Close(gate.Connection{Open: c.h2.Streams() > 0, PartialRequest: c.processLater, UnreadBytes: !c.halfClosed && !c.conn.InputDrained()})
 		switch idle := verdict == gate.Allowed && c.conn.Flushed(); {
 		case idle && (f.closing || c.halfClosed || c.refused):
 			c.conn.Close(transport.LocalDone)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -46,6 +46,11 @@
 	Admit(q broker.Query) (broker.Admission, *broker.QueryHandle)
 	// Post has fn called on the core's goroutine. It may be called on any goroutine.
 	Post(fn func())
+	// InBackground calls fn in a later turn of the event loop, after what had arrived by then.
+	InBackground(fn func())
+	// TurnSpent reports whether the current turn has taken so long that what else clients have
+	// sent should be handled in the background.
+	TurnSpent() bool
 }
 
 // Conn is a connection to a client, as transport.Conn implements it.
@@ -58,6 +63,8 @@
 	CloseIfReset()
 	// Flushed reports whether all written bytes have been sent.
 	Flushed() bool
+	// Unsent returns how many written bytes wait for the client to read.
+	Unsent() int
 	// InputDelay returns, within Data, how long its bytes have waited since they arrived.
 	InputDelay() time.Duration
 	// DiscardInput drops what the client sends from now on, unread. It returns whether there was
@@ -100,6 +107,13 @@
 	// LingerTimeout is how long a client has to read the last answer and close its side
 	// before the connection is closed.
 	LingerTimeout = 5 * time.Second
+	// PieceTime is how long what one client has sent is handled at a time, before other clients
+	// have their turn.
+	PieceTime = 200 * time.Microsecond
+	// MaxUnsent is how many bytes may wait for a client to read before more of its requests are
+	// begun, and OutputCheckInterval how often that is checked.
+	MaxUnsent           = 64 << 10
+	OutputCheckInterval = 5 * time.Millisecond
 	// ResetWait is how long after sending to check for a reset, with which a client that has
 	// closed its connection answers.
 	ResetWait = 20 * time.Millisecond
--- a/internal/front/platform/pipeline.go
+++ b/internal/front/platform/pipeline.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"kiteloft/internal/front"
 	"kiteloft/internal/gate"
 	"kiteloft/internal/http1"
 )
@@ -91,13 +92,26 @@
 	case c.overflow != nil && (c.f.core.Now() > c.discardUntil || !c.conn.DiscardInput()):
 		return false
 	}
-	if !c.awaitsInput {
-		c.awaitsInput = true
-		c.f.core.After(inputCheckInterval, func() {
-			c.awaitsInput = false
-			c.serveNext()
-		})
+	c.awaitsInput = true
+	c.f.core.After(inputCheckInterval, func() {
+		c.awaitsInput = false
+		c.serveNext()
+	})
+	return true
+}
+
+// waitForOutput reports whether the next request has to wait until the client has read more of the
+// answers to earlier ones, and calls serveNext again later then. It bounds the memory that answers
+// take.
+func (c *client) waitForOutput() bool {
+	if c.conn.Unsent() <= front.MaxUnsent || !c.hasPendingInput() {
+		return false
 	}
+	c.awaitsOutput = true
+	c.f.core.After(front.OutputCheckInterval, func() {
+		c.awaitsOutput = false
+		c.serveNext()
+	})
 	return true
 }
 
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -90,6 +90,8 @@
 	requestStartedAt time.Duration // when the request that is being received began; 0: none is
 	arrivalTimes     arrivals
 	awaitsInput      bool            // serveNext is going to be called once more has been read
+	inBackground     bool            // servePiece is going to be called as a background task
+	awaitsOutput     bool            // serveNext is going to be called once the client has read more
 	discardUntil     time.Duration   // with overflow: until when requests wait for the end of the input
 	overflow         *http1.Error    // set once what the client sends is not kept any more: the answer to it
 	lastAnsweredID   string          // id of the query that was answered last
@@ -159,7 +161,7 @@
 	c.readAhead()
 	// Bounds the memory for a client that pipelines without limit. Requests that have been
 	// received completely are still answered.
-	if (c.current != nil || c.awaitsInput) && c.parser.Buffered()+c.pipelined.size() > maxBufferedBytes {
+	if (c.current != nil || c.servesLater()) && c.parser.Buffered()+c.pipelined.size() > maxBufferedBytes {
 		c.stopReading(errTooMuchAtOnce)
 	}
 	c.chargeInput()
@@ -201,49 +203,89 @@
 	}
 }
 
-// serveNext handles complete requests until one has to wait for its answer.
+// serveNext handles complete requests: some now, or all of them in the background if the turn has
+// taken long.
 func (c *client) serveNext() {
+	switch {
+	case c.servesLater():
+	case c.f.core.TurnSpent() && c.hasPendingInput():
+		c.serveInBackground()
+	default:
+		c.servePiece()
+	}
+}
+
+// servesLater reports whether a further call that handles complete requests is going to come.
+func (c *client) servesLater() bool { return c.awaitsInput || c.awaitsOutput || c.inBackground }
+
+// serveInBackground has complete requests handled as a background task.
+func (c *client) serveInBackground() {
+	c.inBackground = true
+	c.f.core.InBackground(func() {
+		c.inBackground = false
+		c.servePiece()
+	})
+}
+
+// servePiece handles complete requests until one has to wait for its answer, or until other clients
+// have their turn.
+func (c *client) servePiece() {
+	until := c.f.core.ReadClock() + front.PieceTime
 	for c.current == nil && !c.closing {
-		if c.waitForInput() {
-			return
-		}
-		next, err := c.nextRequest()
-		if err != nil {
-			c.rejectMalformed(err)
-			return
-		}
-		if next == nil && c.overflow != nil {
-			c.rejectMalformed(c.overflow)
-			return
-		}
-		if next == nil {
-			if !c.parser.Started() {
-				c.requestStartedAt = 0
-			} else if c.requestStartedAt == 0 {
-				c.requestStartedAt = c.f.core.Now()
-			}
-			c.idleSince = c.f.core.Now()
-			if c.parser.ExpectsContinue() {
-				c.conn.Write([]byte(httpVersion + "100 Continue\r\n\r\n"))
-			}
-			return
-		}
-		c.requestStartedAt, c.hasRequested = 0, true
-		if next.waited && c.conn.PeerGone() {
-			c.HalfClosed()
+		if c.waitForInput() || c.waitForOutput() || !c.serveOne() {
 			return
 		}
-		c.f.audit.Received++
-		if next.refused {
-			c.refuse(next.message.Close)
-			continue
+		if c.f.core.ReadClock() >= until && c.current == nil && c.hasPendingInput() {
+			c.serveInBackground()
+			break
 		}
-		c.serve(next.message, next.receivedAt)
 	}
 	c.limitCurrent()
 	c.chargeInput()
 }
 
+// serveOne handles the next complete request. It returns false if there is none, or if the connection
+// ends.
+func (c *client) serveOne() bool {
+	next, err := c.nextRequest()
+	if err == nil && next == nil && c.overflow != nil {
+		err = c.overflow
+	}
+	if err != nil {
+		c.rejectMalformed(err)
+		return false
+	}
+	if next == nil {
+		c.awaitRequest()
+		return false
+	}
+	c.requestStartedAt, c.hasRequested = 0, true
+	if next.waited && c.conn.PeerGone() {
+		c.HalfClosed()
+		return false
+	}
+	c.f.audit.Received++
+	if next.refused {
+		c.refuse(next.message.Close)
+	} else {
+		c.serve(next.message, next.receivedAt)
+	}
+	return true
+}
+
+// awaitRequest notes that the client has sent no complete request that is not answered.
+func (c *client) awaitRequest() {
+	if !c.parser.Started() {
+		c.requestStartedAt = 0
+	} else if c.requestStartedAt == 0 {
+		c.requestStartedAt = c.f.core.Now()
+	}
+	c.idleSince = c.f.core.Now()
+	if c.parser.ExpectsContinue() {
+		c.conn.Write([]byte(httpVersion + "100 Continue\r\n\r\n"))
+	}
+}
+
 // refuse answers a request that was not kept.
 func (c *client) refuse(closes bool) {
 	c.reply(errTooMuchHeld.Status, "text/plain", []byte(errTooMuchHeld.Reason+"\n"), front.OverloadRetryAfter, closes)
--- a/internal/front/platform/platform_test.go
+++ b/internal/front/platform/platform_test.go
@@ -27,6 +27,8 @@
 func (d *fakeCore) ReadClock() time.Duration        { return d.now }
 func (d *fakeCore) After(_ time.Duration, f func()) { d.timers = append(d.timers, f) }
 func (d *fakeCore) Post(fn func())                  { fn() }
+func (d *fakeCore) InBackground(fn func())          { fn() }
+func (d *fakeCore) TurnSpent() bool                 { return false }
 func (d *fakeCore) Admit(q broker.Query) (broker.Admission, *broker.QueryHandle) {
 	d.admitted = append(d.admitted, q)
 	return broker.Taken, nil
@@ -57,6 +59,7 @@
 func (l *fakeConn) PeerGone() bool            { return false }
 func (l *fakeConn) InputDelay() time.Duration { return 0 }
 func (l *fakeConn) Flushed() bool             { return true }
+func (l *fakeConn) Unsent() int               { return 0 }
 func (l *fakeConn) Finish(e transport.End)    { l.closes = append(l.closes, e) }
 
 // fakeLimit implements front.ConnectionLimit.
--- a/internal/h2/conn.go
+++ b/internal/h2/conn.go
@@ -51,6 +51,7 @@
 	h              Handler
 	write          func([]byte) int64
 	in             []byte
+	processed      int // bytes before in that its memory still holds
 	missingPreface int // server: bytes of the client's preface that have not arrived
 	src            bytes.Reader
 	dst            bytes.Buffer
@@ -167,21 +168,35 @@
 func (e connectionError) Error() string { return fmt.Sprintf("%v: %s", e.code, e.reason) }
 
 // Receive processes bytes from the peer, which it may keep, and calls the Handler for them. After
-// an error, for which
-// a GOAWAY has been sent, the caller has to close the connection.
+// an error, for which a GOAWAY has been sent, the caller has to close the connection.
 func (c *Conn) Receive(b []byte) error {
-	if c.err != nil {
-		return c.err
-	}
-	if len(c.in) == 0 {
-		c.in = b[:len(b):len(b)]
-	} else {
+	c.Add(b)
+	_, err := c.Process(nil)
+	return err
+}
+
+// Add adds bytes from the peer, which it may keep, for Process.
+func (c *Conn) Add(b []byte) {
+	switch {
+	case c.err != nil:
+	case len(c.in) == 0:
+		c.in, c.processed = b[:len(b):len(b)], 0
+	default:
 		c.in = append(c.in, b...)
 	}
+}
+
+// Process processes the bytes that were added and calls the Handler for them, until it has processed
+// all or, after a frame, goOn returns false; nil: never. More says that complete frames may be left.
+// Errors are those of Receive.
+func (c *Conn) Process(goOn func() bool) (more bool, err error) {
+	if c.err != nil {
+		return false, c.err
+	}
 	received := len(c.in)
-	c.err = c.readFrames()
-	if c.err == nil && len(c.in) < received {
-		c.in = bytes.Clone(c.in) // releases what came before
+	more, c.err = c.readFrames(goOn)
+	if c.processed += received - len(c.in); c.err == nil && c.processed > len(c.in) {
+		c.in, c.processed = bytes.Clone(c.in), 0 // releases what came before
 	}
 	if c.err != nil {
 		code := http2.ErrCodeProtocol
@@ -203,7 +218,7 @@
 	} else if c.longestFrame > maxKeptBufferBytes && len(c.in) == 0 {
 		c.newFramer()
 	}
-	return c.err
+	return more, c.err
 }
 
 // releaseInput frees what is kept for frames to come, of which there will be none.
@@ -212,51 +227,56 @@
 	c.newFramer()
 }
 
-// readFrames processes all complete frames in c.in.
-func (c *Conn) readFrames() error {
+// readFrames processes complete frames in c.in until goOn returns false. More says that it has.
+func (c *Conn) readFrames(goOn func() bool) (more bool, err error) {
 	if n := min(c.missingPreface, len(c.in)); n > 0 {
 		at := len(http2.ClientPreface) - c.missingPreface
 		if string(c.in[:n]) != http2.ClientPreface[at:at+n] {
-			return connectionError{http2.ErrCodeProtocol, "no HTTP/2 preface"}
+			return false, connectionError{http2.ErrCodeProtocol, "no HTTP/2 preface"}
 		}
 		c.in, c.missingPreface = c.in[n:], c.missingPreface-n
 	}
 	for c.missingPreface == 0 && c.err == nil {
 		n, err := c.nextFrameLength()
 		if n == 0 || err != nil {
-			return err
+			return false, err
 		}
 		frame := c.in[:n]
 		if c.in = c.in[n:]; len(c.in) == 0 {
 			c.in = nil
 		}
-		switch http2.FrameType(frame[3]) {
-		case http2.FrameData:
-			if err := c.receiveData(frame); err != nil {
-				return err
-			}
-			continue
-		case http2.FrameHeaders:
-			if countFields(frame) > maxFields {
-				return connectionError{http2.ErrCodeEnhanceYourCalm, "too many header fields"}
-			}
+		if err := c.readFrame(frame); err != nil {
+			return false, err
 		}
-		c.longestFrame = max(c.longestFrame, n)
-		c.src.Reset(frame)
-		f, err := c.framer.ReadFrame()
-		var se http2.StreamError
-		switch {
-		case errors.As(err, &se):
-			c.handleStreamError(se)
-		case err != nil:
-			return err
-		default:
-			if err := c.handleFrame(f); err != nil {
-				return err
-			}
+		if goOn != nil && len(c.in) > 0 && !goOn() {
+			return true, nil
 		}
 	}
-	return nil
+	return false, nil
+}
+
+// readFrame processes a frame, with the continuations of its header block.
+func (c *Conn) readFrame(frame []byte) error {
+	switch http2.FrameType(frame[3]) {
+	case http2.FrameData:
+		return c.receiveData(frame)
+	case http2.FrameHeaders:
+		if countFields(frame) > maxFields {
+			return connectionError{http2.ErrCodeEnhanceYourCalm, "too many header fields"}
+		}
+	}
+	c.longestFrame = max(c.longestFrame, len(frame))
+	c.src.Reset(frame)
+	f, err := c.framer.ReadFrame()
+	var se http2.StreamError
+	switch {
+	case errors.As(err, &se):
+		c.handleStreamError(se)
+		return nil
+	case err != nil:
+		return err
+	}
+	return c.handleFrame(f)
 }
 
 // nextFrameLength returns the length of the next frame, with the continuations of its header block,
--- a/internal/h2/h2_test.go
+++ b/internal/h2/h2_test.go
@@ -296,3 +296,29 @@
 		}
 	})
 }
+
+// TestFramesAreProcessedInPieces checks that Process stops after a frame when it is told to, and
+// goes on with the next one.
+func TestFramesAreProcessedInPieces(t *testing.T) {
+	client, server := newEndpoint(false), newEndpoint(true)
+	exchange(t, client, server, 1<<20)
+	const streams = 20
+	for range streams {
+		client.conn.Open([]hpack.HeaderField{{Name: ":method", Value: "POST"}}, []byte("ab"))
+	}
+	server.conn.Add(client.wire)
+	pieces := 0
+	for more := true; more; pieces++ {
+		before := len(server.ended)
+		var err error
+		if more, err = server.conn.Process(func() bool { return false }); err != nil {
+			t.Fatal(err)
+		}
+		if n := len(server.ended) - before; n > 1 {
+			t.Errorf("%d streams in one piece", n)
+		}
+	}
+	if len(server.ended) != streams || pieces < streams || server.conn.Partial() {
+		t.Errorf("%d of %d streams in %d pieces, bytes left: %v", len(server.ended), streams, pieces, server.conn.Partial())
+	}
+}
