Tests: the platform's limits are enforced by a process of their own

Cause: the share of CPU time was enforced by a goroutine of the test program.

Change: a Watch runs the test program again as the enforcer; what it saw comes back when it ends. No check or bound has changed.

--- a/cmd/kiteloft/bed_test.go
+++ b/cmd/kiteloft/bed_test.go
@@ -241,7 +241,9 @@
 		t.Fatal(err)
 	}
 	if b.limits != nil {
-		b.watch = confine.NewWatch(b.Cmd.Process.Pid, *b.limits)
+		if b.watch, err = confine.NewWatch(os.Args[0], b.Cmd.Process.Pid, *b.limits); err != nil {
+			t.Fatal(err)
+		}
 	}
 	t.Cleanup(func() { b.stop(t) })
 }
@@ -250,8 +252,9 @@
 func (b *bed) stop(t *testing.T) {
 	http.DefaultClient.CloseIdleConnections() // a client that stays is served for longer
 	if b.watch != nil {
-		b.watch.Stop()
-		b.watch = nil
+		if _, _, err := b.watch.Stop(); err != nil {
+			t.Error(err)
+		}
 	}
 	if err := b.Mixer.Stop(); err != nil {
 		t.Error(err)
--- a/internal/standin/confine/confine.go
+++ b/internal/standin/confine/confine.go
@@ -4,21 +4,26 @@
 package confine
 
 import (
+	"bytes"
+	"encoding/json"
 	"fmt"
+	"io"
 	"os"
+	"os/exec"
 	"runtime"
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"golang.org/x/sys/unix"
 )
 
-// LaunchArgument is the first argument that makes a program that calls Launch execute the command
-// in the remaining arguments under limits.
-const LaunchArgument = "launch-with-limits"
+// First arguments of a program that calls Launch.
+const (
+	launchArgument  = "launch-with-limits" // execute the command in the remaining arguments
+	enforceArgument = "enforce-limits"     // be the process of a Watch
+)
 
 const (
 	cpuInterval    = time.Millisecond      // between looks at the CPU time that a process has used
@@ -37,7 +42,7 @@
 // Command returns the command that runs another one under l.CPU and l.Sockets, by a program that
 // calls Launch.
 func (l Limits) Command(launcher string, command ...string) []string {
-	return append([]string{launcher, LaunchArgument, strconv.Itoa(l.CPU), strconv.Itoa(l.Sockets)}, command...)
+	return append([]string{launcher, launchArgument, strconv.Itoa(l.CPU), strconv.Itoa(l.Sockets)}, command...)
 }
 
 // AllowedCPUs returns the numbers of the cores that this process may run on.
@@ -54,16 +59,24 @@
 	return list, nil
 }
 
-// Launch replaces this process by a command of Limits.Command, and returns if they are not one. It exits
-// with status 70 if that fails.
+// Launch does what the first of the arguments of a process says, if Limits.Command or NewWatch made
+// them, and returns if not. It replaces the process, or exits: with status 70 after an error.
 func Launch(args []string) {
-	if len(args) < 4 || args[0] != LaunchArgument {
+	var err error
+	switch {
+	case len(args) >= 4 && args[0] == launchArgument:
+		runtime.LockOSThread() // the core is set for the calling thread, which executes the command
+		err = launch(args[1], args[2], args[3:])
+	case len(args) == 4 && args[0] == enforceArgument:
+		err = enforce(args[1:])
+	default:
 		return
 	}
-	runtime.LockOSThread() // the core is set for the calling thread, which executes the command
-	err := launch(args[1], args[2], args[3:])
-	fmt.Fprintln(os.Stderr, "confine:", err)
-	os.Exit(70)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "confine:", err)
+		os.Exit(70)
+	}
+	os.Exit(0)
 }
 
 func launch(cpu, sockets string, command []string) error {
@@ -87,48 +100,90 @@
 }
 
 // Watch enforces the share of CPU time and the memory limit of a running process, as the platform
-// does, until Stop is called or the process has ended.
+// does, until Stop is called or the process has ended. It does so in a process of its own, which is
+// not held up by what its caller does.
 type Watch struct {
-	pid     int
-	limits  Limits
-	stop    chan struct{}
-	running sync.WaitGroup
-	peakKB  atomic.Int64
-	killed  atomic.Bool
+	enforcer *exec.Cmd
+	stop     io.Closer // the enforcer's standard input
+	output   bytes.Buffer
 }
 
-// NewWatch begins to enforce the limits of a process.
-func NewWatch(pid int, l Limits) *Watch {
-	w := &Watch{pid: pid, limits: l, stop: make(chan struct{})}
-	if l.Cores > 0 {
-		w.running.Go(w.limitCPU)
+// findings are what an enforcer reports when it ends.
+type findings struct {
+	PeakKB int64 // largest resident memory that was seen
+	Killed bool  // for its memory
+}
+
+// NewWatch begins to enforce the limits of a process, by a launcher that calls Launch.
+func NewWatch(launcher string, pid int, l Limits) (*Watch, error) {
+	w := &Watch{enforcer: exec.Command(launcher, enforceArgument, strconv.Itoa(pid), fmt.Sprint(l.Cores), strconv.Itoa(l.MemoryMB))}
+	var err error
+	if w.stop, err = w.enforcer.StdinPipe(); err != nil {
+		return nil, fmt.Errorf("confine: %w", err)
 	}
-	if l.MemoryMB > 0 {
-		w.running.Go(w.limitMemory)
+	w.enforcer.Stdout, w.enforcer.Stderr = &w.output, os.Stderr
+	if err := w.enforcer.Start(); err != nil {
+		return nil, fmt.Errorf("confine: %w", err)
 	}
-	return w
+	return w, nil
 }
 
-// Stop ends the enforcement. It may be called once.
-func (w *Watch) Stop() {
-	close(w.stop)
-	w.running.Wait()
+// Stop ends the enforcement. It returns the largest resident memory that was seen, in KB, and whether
+// the process was killed for it. It may be called once.
+func (w *Watch) Stop() (peakKB int64, killed bool, err error) {
+	_ = w.stop.Close() // the enforcer may have ended
+	if err := w.enforcer.Wait(); err != nil {
+		return 0, false, fmt.Errorf("confine: %w", err)
+	}
+	var f findings
+	if err := json.Unmarshal(w.output.Bytes(), &f); err != nil {
+		return 0, false, fmt.Errorf("confine: %w", err)
+	}
+	return f.PeakKB, f.Killed, nil
 }
 
-// PeakKB returns the largest resident memory that was seen, in KB.
-func (w *Watch) PeakKB() int64 { return w.peakKB.Load() }
+// enforcer is the process of a Watch.
+type enforcer struct {
+	pid    int
+	limits Limits
+	stop   chan struct{}
+	findings
+}
 
-// Killed reports whether the process was killed for its memory.
-func (w *Watch) Killed() bool { return w.killed.Load() }
+// enforce runs an enforcer with the arguments that NewWatch gives it, until its standard input ends.
+func enforce(args []string) error {
+	e := enforcer{stop: make(chan struct{})}
+	var err error
+	if e.pid, err = strconv.Atoi(args[0]); err != nil {
+		return fmt.Errorf("process: %w", err)
+	}
+	if e.limits.Cores, err = strconv.ParseFloat(args[1], 64); err != nil {
+		return fmt.Errorf("share: %w", err)
+	}
+	if e.limits.MemoryMB, err = strconv.Atoi(args[2]); err != nil {
+		return fmt.Errorf("memory: %w", err)
+	}
+	var running sync.WaitGroup
+	if e.limits.Cores > 0 {
+		running.Go(e.limitCPU)
+	}
+	if e.limits.MemoryMB > 0 {
+		running.Go(e.limitMemory)
+	}
+	_, _ = io.Copy(io.Discard, os.Stdin) // its end, in whatever way, is the signal
+	close(e.stop)
+	running.Wait()
+	return json.NewEncoder(os.Stdout).Encode(e.findings)
+}
 
 // limitCPU stops the process whenever it has used its share, and continues it when it has time again.
-func (w *Watch) limitCPU() {
-	defer func() { _ = unix.Kill(w.pid, unix.SIGCONT) }() // the process may have ended
-	last, used := time.Now(), w.cpuTime()
+func (e *enforcer) limitCPU() {
+	defer func() { _ = unix.Kill(e.pid, unix.SIGCONT) }() // the process may have ended
+	last, used := time.Now(), e.cpuTime()
 	allowance, stopped := cpuBurst, false
-	for w.sleep(cpuInterval) {
-		now, total := time.Now(), w.cpuTime()
-		allowance += time.Duration(w.limits.Cores*float64(now.Sub(last))) - (total - used)
+	for e.sleep(cpuInterval) {
+		now, total := time.Now(), e.cpuTime()
+		allowance += time.Duration(e.limits.Cores*float64(now.Sub(last))) - (total - used)
 		allowance = min(allowance, cpuBurst)
 		last, used = now, total
 		if over := allowance < 0; over != stopped {
@@ -136,7 +191,7 @@
 			if over {
 				signal = unix.SIGSTOP
 			}
-			if unix.Kill(w.pid, signal) != nil {
+			if unix.Kill(e.pid, signal) != nil {
 				return // the process has ended
 			}
 			stopped = over
@@ -145,31 +200,31 @@
 }
 
 // cpuTime returns the CPU time that the process has used; 0 if it has ended.
-func (w *Watch) cpuTime() time.Duration {
+func (e *enforcer) cpuTime() time.Duration {
 	var t unix.Timespec
-	processClock := int32(^w.pid<<3 | 2) // as clock_getcpuclockid makes it
+	processClock := int32(^e.pid<<3 | 2) // as clock_getcpuclockid makes it
 	if unix.ClockGettime(processClock, &t) != nil {
 		return 0
 	}
 	return time.Duration(t.Nano())
 }
 
-func (w *Watch) limitMemory() {
-	for w.sleep(memoryInterval) {
-		kb := ResidentKB(w.pid)
-		w.peakKB.Store(max(w.peakKB.Load(), kb))
-		if kb > int64(w.limits.MemoryMB)<<10 {
-			w.killed.Store(true)
-			_ = unix.Kill(w.pid, unix.SIGKILL) // the process may have ended
+func (e *enforcer) limitMemory() {
+	for e.sleep(memoryInterval) {
+		kb := ResidentKB(e.pid)
+		e.PeakKB = max(e.PeakKB, kb)
+		if kb > int64(e.limits.MemoryMB)<<10 {
+			e.Killed = true
+			_ = unix.Kill(e.pid, unix.SIGKILL) // the process may have ended
 			return
 		}
 	}
 }
 
-// sleep waits, and reports whether the watch goes on.
-func (w *Watch) sleep(d time.Duration) bool {
+// sleep waits, and reports whether the enforcement goes on.
+func (e *enforcer) sleep(d time.Duration) bool {
 	select {
-	case <-w.stop:
+	case <-e.stop:
 		return false
 	case <-time.After(d):
 		return true
