Flight: input that was handled or dropped is released at once

Callers saw: a mixer with many Flight clients at full speed passed its memory limit (100 clients, 65.9 of 64 MB; 38 MB held by 100 connections whose accounts said 6).

Cause: the reader of the last frame kept a reference to the input in which it came, and a connection that had ended kept its input until its task in the background came up. Also, what a call drops within Receive was forgotten: frames after it were processed, and the error was lost.

Change: the reader is reset after each frame; input is discarded at the end of a connection; an error set within a call stays. The heap profile named h2.Conn.Add; the accounts named the difference.

--- a/internal/front/flight/flight.go
+++ b/internal/front/flight/flight.go
@@ -156,7 +156,7 @@
 	case c.processLater:
 		c.chargeInput()
 	case c.f.core.TurnSpent():
-		c.processInBackground()
+		c.processBy(c.f.core.Post)
 		c.chargeInput()
 	default:
 		c.process()
@@ -175,21 +175,24 @@
 	}
 	until := c.f.core.ReadClock() + front.PieceTime
 	more, err := c.h2.Process(func() bool { return c.f.core.ReadClock() < until })
+	if c.refused || c.closeDeadline > 0 { // within a call
+		return
+	}
 	if err != nil {
 		c.f.malformedLog.Info().Err(err).Msg("Flight client broke HTTP/2")
 		c.startClosing()
 		return
 	}
 	if more {
-		c.processInBackground()
+		c.processBy(c.f.core.InBackground)
 	}
 	c.chargeInput()
 }
 
-// processInBackground has the frames that are left handled as a background task.
-func (c *client) processInBackground() {
+// processBy has the frames that are left handled in a later turn, by Core.Post or Core.InBackground.
+func (c *client) processBy(schedule func(func())) {
 	c.processLater = true
-	c.f.core.InBackground(c.processAgain)
+	schedule(c.processAgain)
 }
 
 // processAgain handles frames that were left.
@@ -248,6 +251,7 @@
 		for k := range c.calls {
 			c.dropCall(k)
 		}
+		c.h2.Discard()
 		c.input.Set(0)
 		c.conn.Finish(transport.BadInput)
 	}
@@ -531,6 +535,7 @@
 // Ended implements transport.Handler.
 func (c *client) Ended(transport.End) {
 	delete(c.f.clients, c)
+	c.h2.Discard() // a task in the background may hold it for longer
 	c.input.Set(0)
 	for k := range c.calls {
 		c.dropCall(k)
--- a/internal/h2/conn.go
+++ b/internal/h2/conn.go
@@ -140,8 +140,13 @@
 // DropInput drops a frame that has not arrived completely, after which nothing more can be received,
 // and tells the peer to open no more streams. Open streams can still be written to.
 func (c *Conn) DropInput() {
-	c.err = connectionError{http2.ErrCodeEnhanceYourCalm, "a frame stayed unfinished"}
 	c.GoAway()
+	c.Discard()
+}
+
+// Discard drops what was added and not processed. Nothing more can be received.
+func (c *Conn) Discard() {
+	c.err = connectionError{http2.ErrCodeEnhanceYourCalm, "input was dropped"}
 	c.releaseInput()
 }
 
@@ -194,7 +199,12 @@
 		return false, c.err
 	}
 	received := len(c.in)
-	more, c.err = c.readFrames(goOn)
+	more, err = c.readFrames(goOn)
+	if c.err != nil { // the Handler has dropped the input
+		c.flush()
+		return false, c.err
+	}
+	c.err = err
 	if c.processed += received - len(c.in); c.err == nil && c.processed > len(c.in) {
 		c.in, c.processed = bytes.Clone(c.in), 0 // releases what came before
 	}
@@ -268,6 +278,7 @@
 	c.longestFrame = max(c.longestFrame, len(frame))
 	c.src.Reset(frame)
 	f, err := c.framer.ReadFrame()
+	c.src.Reset(nil) // releases the frame and what was received with it
 	var se http2.StreamError
 	switch {
 	case errors.As(err, &se):
