Core: tasks in the background leave turns with other input alone; shorter pieces

Callers saw: beside 100 clients at full speed, refusals for want of hope and answers up to 0.2 s after their time of 0.4 s.

Cause: netpoll's poller yields to the core after each connection that it reads, and a turn of the core did a piece of background work each time. One look at all connections took as many pieces as there were clients at full speed, before another client's bytes were read.

Change: while each turn has something posted, background tasks run once in 5 ms; the pause between turns in which they run is 0.25 ms, a piece 0.1 ms. What comes in a turn that has lasted 4 ms waits for the next turn, not behind the background.

--- a/internal/broker/background.go
+++ b/internal/broker/background.go
@@ -7,13 +7,19 @@
 	inputTime = 4 * time.Millisecond
 	// backgroundTime is how long background tasks run in a turn.
 	backgroundTime = 200 * time.Microsecond
+	// backgroundInterval is the longest time between turns in which background tasks run, while
+	// there is something else to do in each turn.
+	backgroundInterval = 5 * time.Millisecond
 	// backgroundPause is how long the event loop sleeps between turns while background tasks wait:
 	// long enough for the goroutines that read from peers to run.
-	backgroundPause = 50 * time.Microsecond
+	backgroundPause = 250 * time.Microsecond
 )
 
-// backgroundTasks is a queue of tasks that run in order, some in each turn of the event loop.
-type backgroundTasks struct{ list []func() }
+// backgroundTasks is a queue of tasks that run in order, a few at a time.
+type backgroundTasks struct {
+	list  []func()
+	ranAt time.Duration // when the last of them ran
+}
 
 // add appends a task.
 func (t *backgroundTasks) add(fn func()) { t.list = append(t.list, fn) }
@@ -29,17 +35,22 @@
 	return fn
 }
 
-// InBackground runs fn in a later turn, after what had arrived by then. A front uses it to handle
-// what one peer has sent in pieces, so that other peers, timers and the module have their turn in
-// between. Tasks run in the order in which they were added.
+// InBackground runs fn in a later turn. A front uses it to handle in pieces what one peer has sent, so
+// that other peers, timers and the module have their turn in between. Tasks run in the order in which
+// they were added: all the time while nothing else is to be done, else a few each backgroundInterval.
 func (c *Core) InBackground(fn func()) { c.background.add(fn) }
 
 // TurnSpent reports whether the current turn has taken so long that what else peers have sent
-// should be left to background tasks.
+// should be left to a later turn.
 func (c *Core) TurnSpent() bool { return c.clock()-c.now > inputTime }
 
-// runBackground runs tasks for backgroundTime, and at least one.
-func (c *Core) runBackground() {
+// runBackground runs tasks for backgroundTime, and at least one. In a turn in which something was
+// posted it does so only once in each backgroundInterval.
+func (c *Core) runBackground(posted bool) {
+	if posted && c.now < c.background.ranAt+backgroundInterval {
+		return
+	}
+	c.background.ranAt = c.now
 	begun := c.clock()
 	for fn := c.background.take(); fn != nil; fn = c.background.take() {
 		fn()
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -387,7 +387,8 @@
 	if c.onTurn != nil {
 		c.onTurn()
 	}
-	for _, fn := range c.inbox.take() {
+	posted := c.inbox.take()
+	for _, fn := range posted {
 		fn()
 	}
 	if due, ok := c.timers.next(); ok && c.now > due {
@@ -398,7 +399,7 @@
 	if len(c.events) > 0 && c.now >= c.lastStep+c.config.Module.Tick {
 		c.step()
 	}
-	c.runBackground()
+	c.runBackground(len(posted) > 0)
 	if c.now >= c.lastStormCheck+stormCheckInterval {
 		c.checkStorm()
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -46,10 +46,10 @@
 	Admit(q broker.Query) (broker.Admission, *broker.QueryHandle)
 	// Post has fn called on the core's goroutine. It may be called on any goroutine.
 	Post(fn func())
-	// InBackground calls fn in a later turn of the event loop, after what had arrived by then.
+	// InBackground calls fn in a later turn of the event loop, when there is little else to do.
 	InBackground(fn func())
 	// TurnSpent reports whether the current turn has taken so long that what else clients have
-	// sent should be handled in the background.
+	// sent should be left to a later one.
 	TurnSpent() bool
 }
 
@@ -109,7 +109,7 @@
 	LingerTimeout = 5 * time.Second
 	// PieceTime is how long what one client has sent is handled at a time, before other clients
 	// have their turn.
-	PieceTime = 200 * time.Microsecond
+	PieceTime = 100 * time.Microsecond
 	// MaxUnsent is how many bytes may wait for a client to read before more of its requests are
 	// begun, and OutputCheckInterval how often that is checked.
 	MaxUnsent           = 64 << 10
--- a/internal/front/platform/fairness_test.go
+++ b/internal/front/platform/fairness_test.go
@@ -23,7 +23,14 @@
 
 func (d *busyCore) ReadClock() time.Duration { d.now += d.cost; return d.now }
 func (d *busyCore) InBackground(fn func())   { d.tasks = append(d.tasks, fn) }
-func (d *busyCore) TurnSpent() bool          { return d.spent }
+func (d *busyCore) Post(fn func()) {
+	if d.spent {
+		d.tasks = append(d.tasks, fn)
+		return
+	}
+	fn()
+}
+func (d *busyCore) TurnSpent() bool { return d.spent }
 
 // runTask runs the first background task; it reports whether there was one.
 func (d *busyCore) runTask() bool {
@@ -76,15 +83,16 @@
 
 // TestRequestsWaitWhileTheTurnIsSpent guards against many clients' input adding up to a long turn.
 func TestRequestsWaitWhileTheTurnIsSpent(t *testing.T) {
-	d := &busyCore{fakeCore: fakeCore{now: time.Hour}, spent: true}
+	d := &busyCore{fakeCore: fakeCore{now: time.Hour}}
 	f := New(d, []decide.Class{{Name: "read"}}, nil, fakeLimit{}, zerolog.Nop())
 	l := &fakeConn{}
 	c := f.Accept(l)
+	d.spent = true
 	c.Data([]byte(readinessCheck))
 	if l.written != "" {
 		t.Errorf("answered in a turn that is spent: %q", l.written)
 	}
-	c.(*client).f.sweep()
+	f.sweep()
 	if diff := cmp.Diff([]bool{true, true, false}, []bool{d.runTask(), answers(l.written) == 1, d.runTask()}); diff != "" {
 		t.Errorf("one task and one answer: %s", diff)
 	}
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -90,7 +90,7 @@
 	requestStartedAt time.Duration // when the request that is being received began; 0: none is
 	arrivalTimes     arrivals
 	awaitsInput      bool            // serveNext is going to be called once more has been read
-	inBackground     bool            // servePiece is going to be called as a background task
+	servesPiece      bool            // servePiece is going to be called in a later turn
 	awaitsOutput     bool            // serveNext is going to be called once the client has read more
 	discardUntil     time.Duration   // with overflow: until when requests wait for the end of the input
 	overflow         *http1.Error    // set once what the client sends is not kept any more: the answer to it
@@ -203,26 +203,25 @@
 	}
 }
 
-// serveNext handles complete requests: some now, or all of them in the background if the turn has
-// taken long.
+// serveNext handles complete requests: some now, or in the next turn if this one has taken long.
 func (c *client) serveNext() {
 	switch {
 	case c.servesLater():
 	case c.f.core.TurnSpent() && c.hasPendingInput():
-		c.serveInBackground()
+		c.servePieceBy(c.f.core.Post)
 	default:
 		c.servePiece()
 	}
 }
 
 // servesLater reports whether a further call that handles complete requests is going to come.
-func (c *client) servesLater() bool { return c.awaitsInput || c.awaitsOutput || c.inBackground }
+func (c *client) servesLater() bool { return c.awaitsInput || c.awaitsOutput || c.servesPiece }
 
-// serveInBackground has complete requests handled as a background task.
-func (c *client) serveInBackground() {
-	c.inBackground = true
-	c.f.core.InBackground(func() {
-		c.inBackground = false
+// servePieceBy has complete requests handled in a later turn, by Core.Post or Core.InBackground.
+func (c *client) servePieceBy(schedule func(func())) {
+	c.servesPiece = true
+	schedule(func() {
+		c.servesPiece = false
 		c.servePiece()
 	})
 }
@@ -236,7 +235,7 @@
 			return
 		}
 		if c.f.core.ReadClock() >= until && c.current == nil && c.hasPendingInput() {
-			c.serveInBackground()
+			c.servePieceBy(c.f.core.InBackground)
 			break
 		}
 	}
