Platform front: requests behind one whose turn was put off are read ahead

Cause: a request that fails in time for those behind it is told of them when they are read ahead, which only the arrival of bytes did.

Change: requests are read ahead wherever one begins.

--- a/internal/front/platform/fairness_test.go
+++ b/internal/front/platform/fairness_test.go
@@ -115,3 +115,17 @@
 		t.Errorf("%d answers once the client has read, want 3", n)
 	}
 }
+
+// TestRequestsBehindADeferredOneAreReadAhead guards against late answers to requests that came with
+// one whose turn was put off: that one has to fail in time for them.
+func TestRequestsBehindADeferredOneAreReadAhead(t *testing.T) {
+	d := &busyCore{fakeCore: fakeCore{now: time.Hour}}
+	f := New(d, []decide.Class{{Name: "read"}}, nil, fakeLimit{}, zerolog.Nop())
+	c := f.Accept(&fakeConn{}).(*client)
+	d.spent = true
+	c.Data(append(queryRequest(""), readinessCheck...))
+	d.runTask()
+	if c.current == nil || len(c.pipelined) != 1 {
+		t.Errorf("begun: %v, read ahead: %d, want the first request and one", c.current != nil, len(c.pipelined))
+	}
+}
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -158,7 +158,6 @@
 	c.parser.Write(b)
 	c.arrivalTimes.add(len(b), c.f.core.ReadClock()-c.conn.InputDelay())
 	c.serveNext()
-	c.readAhead()
 	// Bounds the memory for a client that pipelines without limit. Requests that have been
 	// received completely are still answered.
 	if (c.current != nil || c.servesLater()) && c.parser.Buffered()+c.pipelined.size() > maxBufferedBytes {
@@ -239,7 +238,7 @@
 			break
 		}
 	}
-	c.limitCurrent()
+	c.readAhead()
 	c.chargeInput()
 }
 
