Soak: clients at full speed, series of signals, early kills, the platform's limits

Every deployment in it had deadlines of 3 s, so that no mixer was ever killed sooner than 3.7 s after SIGTERM.

Change: clients-full-speed is a kind of trouble; the longest deadline is drawn, 0.6 to 3 s, and the kill comes that long and 0.7 s after SIGTERM; in half of the cases five more signals follow SIGTERM. Each process has one core, shared with others, 1,024 descriptors, and breaks a rule above 192 MB. Clients go on using open connections until the kill, as before.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -15,6 +15,7 @@
 
 	"kiteloft/internal/soak"
 	"kiteloft/internal/standin/callfaults"
+	"kiteloft/internal/standin/confine"
 )
 
 type flags struct {
@@ -33,6 +34,7 @@
 
 func main() {
 	callfaults.Launch(os.Args[1:])
+	confine.Launch(os.Args[1:])
 	var f flags
 	kong.Parse(&f, kong.Name("soak"), kong.Description("The fault soak: real mixers among stand-ins that misbehave by a seed."))
 	os.Exit(f.run())
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -70,7 +70,7 @@
 
 // draw returns a random request; active kinds of trouble may shorten its deadline.
 func (c *client) draw(t [kindCount]bool) *request {
-	r := &request{id: c.env.nextRequestID(), class: classes[c.rng.IntN(len(classes))], deadline: 300*time.Millisecond + time.Duration(c.rng.IntN(2700))*time.Millisecond}
+	r := &request{id: c.env.nextRequestID(), class: classes[c.rng.IntN(len(classes))], deadline: c.drawDeadline()}
 	if t[ShortDeadlines] && c.rng.IntN(2) == 0 {
 		r.deadline = time.Duration(1+c.rng.IntN(60)) * time.Millisecond
 	}
@@ -81,6 +81,12 @@
 	return r
 }
 
+// drawDeadline returns a random deadline between a tenth of the longest one and that.
+func (c *client) drawDeadline() time.Duration {
+	longest := c.env.longestDeadline
+	return (longest/10 + time.Duration(c.rng.Int64N(int64(longest*9/10)))).Truncate(time.Millisecond)
+}
+
 // text returns the request in HTTP/1.1.
 func (r *request) text() string {
 	body := standin.Query{Shards: r.shards}.Body()
@@ -298,6 +304,26 @@
 	}
 }
 
+// sendAtFullSpeed writes a text again and again until end, and drops the answers.
+func (s *slot) sendAtFullSpeed(text string, end time.Time) {
+	for time.Now().Before(end) {
+		p := s.acceptingProcess()
+		if p == nil {
+			return
+		}
+		conn, err := net.DialTimeout("tcp", p.Listen(), dialTimeout)
+		if err != nil {
+			return
+		}
+		_ = conn.SetDeadline(end)
+		go func() { _, _ = io.Copy(io.Discard, conn) }()
+		for err == nil {
+			_, err = io.WriteString(conn, text)
+		}
+		_ = conn.Close()
+	}
+}
+
 // connectSilently connects and sends nothing, until the mixer closes the connection or 5 s have passed.
 func (c *client) connectSilently() {
 	p := c.slot.acceptingProcess()
--- a/internal/soak/environment.go
+++ b/internal/soak/environment.go
@@ -46,11 +46,19 @@
 	loadedShutdownOneIn = 2               // in one of 2 seeds, half of the mixers end under load while all servers hang
 )
 
+// longestDeadlines are those of the deployments that the seeds draw from. The shorter it is, the sooner
+// after SIGTERM a mixer is killed.
+var longestDeadlines = []time.Duration{3 * time.Second, 3 * time.Second, 1200 * time.Millisecond, 600 * time.Millisecond}
+
+// killAfter returns how long after SIGTERM a mixer is killed at the earliest.
+func (env *environment) killAfter() time.Duration { return env.longestDeadline + killMargin }
+
 // environment is the state of a run in progress: mixers, servers, discovery, requests and the journal.
 type environment struct {
 	o Options
 	*journal
-	catalog *catalog
+	catalog         *catalog
+	longestDeadline time.Duration // of the deployment's classes
 
 	mu                sync.Mutex
 	rng               *rand.Rand
@@ -81,6 +89,7 @@
 // report. It returns an error only if a stand-in server can't listen.
 func Run(o Options) (Report, error) {
 	env := &environment{o: o, journal: newJournal(), rng: rand.New(rand.NewPCG(o.Seed, 3)), requests: map[string]*request{}}
+	env.longestDeadline = longestDeadlines[rand.New(rand.NewPCG(o.Seed, 6)).IntN(len(longestDeadlines))]
 	var members []standin.Member
 	for i := range o.Servers {
 		s, err := env.newServer(fmt.Sprintf("s%d", i), i%cells, false)
@@ -125,14 +134,14 @@
 	env.activeTroubles[ClientsPipeline]++
 	env.mu.Unlock()
 	for _, s := range slices.Clone(env.servers) {
-		s.update(func(s *server) { s.hangEnd = time.Now().Add(2 * killAfter) })
+		s.update(func(s *server) { s.hangEnd = time.Now().Add(2 * env.killAfter()) })
 	}
 	for _, s := range env.slots[:len(env.slots)/2] {
 		if p := s.currentProcess(); p != nil && !p.hasEnded() {
 			env.spawn(p.terminate)
 		}
 	}
-	time.Sleep(killAfter)
+	time.Sleep(env.killAfter())
 }
 
 // startMixers starts all mixers at once and waits until each is ready. It returns the first error.
@@ -285,8 +294,8 @@
 	var catalog []string
 	effects := [...]string{repeatable: "repeatable", keyed: "by_key", once: "once"}
 	for _, c := range classes {
-		catalog = append(catalog, fmt.Sprintf(`{"name":"%s","semantics":"%s","aim":1,"deadline":3,"memory_span":%g,"worth":1,"late_value":0.1}`,
-			c.name, effects[c.repeatPolicy], c.dedupWindow.Seconds()))
+		catalog = append(catalog, fmt.Sprintf(`{"name":"%s","semantics":"%s","aim":%g,"deadline":%g,"memory_span":%g,"worth":1,"late_value":0.1}`,
+			c.name, effects[c.repeatPolicy], env.longestDeadline.Seconds()/3, env.longestDeadline.Seconds(), c.dedupWindow.Seconds()))
 	}
 	how := "ask"
 	if env.catalog.pushMode {
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"syscall"
 	"time"
 
@@ -122,6 +123,26 @@
 		inj.catalog.stepClocks([]time.Duration{time.Hour, -time.Hour, 5 * time.Second, -5 * time.Second}[inj.rng.IntN(4)])
 	case CallFaults:
 		inj.failSystemCalls(end)
+	case ClientsFullSpeed:
+		inj.sendAtFullSpeed(end)
+	}
+}
+
+// fullSpeedClients is how many clients send to one mixer at full speed.
+const fullSpeedClients = 6
+
+// sendAtFullSpeed has a few clients of one mixer send small requests at full speed.
+func (inj injector) sendAtFullSpeed(end time.Time) {
+	requests := []string{
+		"GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n",
+		"GET /none HTTP/1.1\r\nHost: a\r\n\r\n",
+		"POST /lookup HTTP/1.1\r\nHost: a\r\nReq-Id: a\r\nReq-Deadline-Ms: 100\r\nContent-Length: 2\r\n\r\n{}",
+	}
+	text := requests[inj.rng.IntN(len(requests))]
+	batch := []int{1, 20, 1000}[inj.rng.IntN(3)]
+	s := inj.affectedSlots()[0]
+	for range fullSpeedClients {
+		inj.spawn(func() { s.sendAtFullSpeed(strings.Repeat(text, batch), end) })
 	}
 }
 
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -12,14 +12,19 @@
 
 	"kiteloft/internal/standin"
 	"kiteloft/internal/standin/callfaults"
+	"kiteloft/internal/standin/confine"
 )
 
 const (
-	acceptAfterTerm  = 400 * time.Millisecond  // after SIGTERM: clients still open connections for this long
-	killAfter        = 3700 * time.Millisecond // after SIGTERM: the longest deadline of 3 s, and 0.7 s
-	excusedAfterTerm = 700 * time.Millisecond  // after SIGTERM: requests sent later have to be answered before the kill
-	readyLimit       = 10 * time.Second        // from the start of a process until it is ready
+	acceptAfterTerm  = 400 * time.Millisecond // after SIGTERM: clients still open connections for this long
+	killMargin       = 700 * time.Millisecond // after SIGTERM, beyond the longest deadline, a process is killed
+	excusedAfterTerm = 700 * time.Millisecond // after SIGTERM: requests sent later have to be answered before the kill
+	readyLimit       = 10 * time.Second       // from the start of a process until it is ready
 	endTime          = 15 * time.Second
+	maxSignalPause   = 300 * time.Millisecond // between signals of a series after SIGTERM
+	processMemoryMB  = 192                    // a process that takes more is a violation
+	processSockets   = 1024                   // descriptors of a process
+	memoryInterval   = 50 * time.Millisecond  // between looks at a process's memory
 )
 
 // slot is one member of the fleet; its successive processes run one at a time.
@@ -46,7 +51,7 @@
 	termSentAt     time.Time   // when SIGTERM was sent; zero: not sent
 	endedAt        time.Time   // when SIGKILL was sent or the process ended; zero: it runs
 	killed         bool        // by SIGKILL, at once or after SIGTERM
-	killedOutright bool        // by SIGKILL without the wait of killAfter
+	killedOutright bool        // by SIGKILL without the wait that SIGTERM grants
 	auditSeen      bool        // the audit line was logged, the last one of an orderly end
 	reconfiguredAt []time.Time // times at which it got new configurations
 }
@@ -72,7 +77,13 @@
 	if err != nil {
 		return fmt.Errorf("soak: %w", err)
 	}
-	p.Mixer, err = standin.Start(standin.Setup{Program: launcher, Args: []string{callfaults.LaunchArgument, s.env.o.Program}, Dir: dir,
+	cpus, err := confine.AllowedCPUs()
+	if err != nil {
+		return fmt.Errorf("soak: %w", err)
+	}
+	limits := confine.Limits{CPU: cpus[(int(s.env.o.Seed)+s.number)%len(cpus)], Sockets: processSockets}
+	command := limits.Command(launcher, launcher, callfaults.LaunchArgument, s.env.o.Program)
+	p.Mixer, err = standin.Start(standin.Setup{Program: command[0], Args: command[1:], Dir: dir,
 		Name: fmt.Sprintf("m%d", s.number), Settings: s.env.mixerSettings(), Discovery: s.addresses[0], Known: s.env.catalog.remainingMembers(), Heard: p.handleLogLine})
 	if p.Mixer != nil && p.Mixer.Cmd != nil && p.Mixer.Cmd.Process != nil {
 		s.env.trackMixer(p.Mixer)
@@ -92,6 +103,7 @@
 	s.process = p
 	s.mu.Unlock()
 	go p.awaitExit()
+	go p.watchMemory()
 	return nil
 }
 
@@ -166,14 +178,18 @@
 // lastLines joins at most the last 20 lines.
 func lastLines(lines []string) string { return strings.Join(lines[max(0, len(lines)-20):], "\n") }
 
-// terminate sends SIGTERM, and SIGKILL if the process has not ended after killAfter.
+// terminate sends SIGTERM, more signals after it in one of two cases, and SIGKILL at the earliest time
+// that the platform may.
 func (p *process) terminate() {
 	p.mu.Lock()
 	p.termSentAt = time.Now()
 	p.mu.Unlock()
 	p.env.record("", "%s is told to end", p.name)
 	_ = p.Cmd.Process.Signal(syscall.SIGTERM) // the process may have ended
-	for until := p.termSentAt.Add(killAfter); time.Now().Before(until); time.Sleep(10 * time.Millisecond) {
+	if p.env.randomBelow(2) == 0 {
+		p.env.spawn(p.signalInSeries)
+	}
+	for until := p.termSentAt.Add(p.env.killAfter()); time.Now().Before(until); time.Sleep(10 * time.Millisecond) {
 		if p.hasEnded() {
 			return
 		}
@@ -181,7 +197,25 @@
 	p.kill(false)
 }
 
-// kill sends SIGKILL unless the process has ended. Outright says that no killAfter was granted before.
+// signalInSeries sends further signals to a process that has been told to end.
+func (p *process) signalInSeries() {
+	for _, sig := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP} {
+		time.Sleep(time.Duration(p.env.randomBelow(int(maxSignalPause))))
+		p.signal(sig)
+	}
+}
+
+// watchMemory records a violation if the process takes more memory than it may.
+func (p *process) watchMemory() {
+	for ; !p.hasEnded(); time.Sleep(memoryInterval) {
+		if kb := confine.ResidentKB(p.Cmd.Process.Pid); kb > processMemoryMB<<10 {
+			p.env.recordViolation("memory", "", "%s takes %d KB", p.name, kb)
+			return
+		}
+	}
+}
+
+// kill sends SIGKILL unless the process has ended. Outright says that it was not told to end before.
 func (p *process) kill(outright bool) {
 	p.mu.Lock()
 	if !p.endedAt.IsZero() {
@@ -217,14 +251,14 @@
 }
 
 // mayLose reports whether a request may be lost with the process. That holds if it was killed outright, or killed
-// after killAfter and the request was sent at most excusedAfterTerm after SIGTERM.
+// after it was told to end and the request was sent at most excusedAfterTerm after SIGTERM.
 func (p *process) mayLose(r *request) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.killedOutright || p.env.hasEnded() {
 		return true
 	}
-	return !p.termSentAt.IsZero() && !p.endedAt.IsZero() && p.endedAt.Sub(p.termSentAt) >= killAfter-tolerance && r.sentAt.Sub(p.termSentAt) <= excusedAfterTerm
+	return !p.termSentAt.IsZero() && !p.endedAt.IsZero() && p.endedAt.Sub(p.termSentAt) >= p.env.killAfter()-tolerance && r.sentAt.Sub(p.termSentAt) <= excusedAfterTerm
 }
 
 // reconfiguredBy returns from, or, if a reconfiguration came less than reconfigurationGrace before it, the end of
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -8,10 +8,12 @@
 	"time"
 
 	"kiteloft/internal/standin/callfaults"
+	"kiteloft/internal/standin/confine"
 )
 
 func TestMain(m *testing.M) {
 	callfaults.Launch(os.Args[1:])
+	confine.Launch(os.Args[1:])
 	os.Exit(m.Run())
 }
 
--- a/internal/soak/trouble.go
+++ b/internal/soak/trouble.go
@@ -39,6 +39,7 @@
 	ClockStep                    // the servers' wall clocks are stepped
 	DiscoverySlow                // every answer of discovery is delayed
 	CallFaults                   // system calls of mixers fail for short times
+	ClientsFullSpeed             // a few clients of one mixer send small requests at full speed
 	kindCount
 )
 
@@ -46,7 +47,7 @@
 	"discovery-silent", "watches-silent", "watches-cut", "discovery-crowded", "drain-servers", "crash-servers",
 	"return-cold", "hang-servers", "hang-all", "reset-links", "close-idle", "spoil-answers", "deaf-servers",
 	"clients-leave", "clients-stall", "clients-pipeline", "clients-flood", "clients-crowd", "short-deadlines",
-	"clock-step", "discovery-slow", "call-faults"}
+	"clock-step", "discovery-slow", "call-faults", "clients-full-speed"}
 
 // String returns the kind's name in reports.
 func (k Kind) String() string { return kindNames[k] }
