--- a/bench/process_test.go
+++ b/bench/process_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"kiteloft/internal/standin"
+	"kiteloft/internal/standin/confine"
 )
 
 // Load and length of TestProcessCost and TestFleetCost, which are long and run only by their make targets.
@@ -216,15 +217,9 @@
 // residentMB returns the resident memory of a process in MB.
 func residentMB(t *testing.T, pid int) float64 {
 	t.Helper()
-	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	if err != nil {
+	kb := confine.ResidentKB(pid)
+	if kb == 0 {
 		t.Skip("this system has no /proc/PID/status")
 	}
-	for line := range strings.Lines(string(b)) {
-		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
-			kb, _ := strconv.ParseFloat(strings.Fields(rest)[0], 64)
-			return math.Round(kb/102.4) / 10
-		}
-	}
-	return 0
+	return math.Round(float64(kb)/102.4) / 10
 }
--- a/cmd/kiteloft/memory_test.go
+++ b/cmd/kiteloft/memory_test.go
@@ -21,6 +21,7 @@
 	"golang.org/x/net/http2/hpack"
 
 	"kiteloft/internal/standin"
+	"kiteloft/internal/standin/confine"
 )
 
 const (
@@ -45,39 +46,17 @@
 // memoryWatch follows the resident memory of a mixer, as the platform does.
 type memoryWatch struct {
 	peakKB, limitKB int64
-	fileKB          int64 // of the program, at most
+	fileKB          int64 // of the program, at most, which Go's memory limit does not cover
 	stop            chan struct{}
 	done            sync.WaitGroup
 }
 
-// The fields of a process's status that tell its resident memory: all of it, and the part that is
-// the program and its libraries, which Go's memory limit does not cover.
-const (
-	allResident  = "VmRSS:"
-	fileResident = "RssFile:"
-)
-
-// residentKB returns a field of a process's status; 0: the process has ended.
-func residentKB(pid int, field string) int64 {
-	text, err := os.ReadFile("/proc/" + strconv.Itoa(pid) + "/status")
-	if err != nil {
-		return 0
-	}
-	for line := range strings.SplitSeq(string(text), "\n") {
-		if s, ok := strings.CutPrefix(line, field); ok {
-			n, _ := strconv.ParseInt(strings.Fields(s)[0], 10, 64)
-			return n
-		}
-	}
-	return 0
-}
-
 func watchMemory(b *bed) *memoryWatch {
 	w := &memoryWatch{limitKB: int64(b.memoryMB) << 10, stop: make(chan struct{})}
 	w.done.Go(func() {
 		for {
-			w.peakKB = max(w.peakKB, residentKB(b.Cmd.Process.Pid, allResident))
-			w.fileKB = max(w.fileKB, residentKB(b.Cmd.Process.Pid, fileResident))
+			w.peakKB = max(w.peakKB, confine.ResidentKB(b.Cmd.Process.Pid))
+			w.fileKB = max(w.fileKB, confine.ProgramKB(b.Cmd.Process.Pid))
 			select {
 			case <-w.stop:
 				return
@@ -182,7 +161,7 @@
 	for _, n := range b.nodes {
 		n.Forgets = true
 	}
-	idle := residentKB(b.Cmd.Process.Pid, allResident)
+	idle := confine.ResidentKB(b.Cmd.Process.Pid)
 	memory := watchMemory(b)
 	usual := soundClients{interval: soundInterval, deadlines: []time.Duration{400 * time.Millisecond, time.Second, 4 * time.Second}}
 	if b.limits != nil {
--- a/internal/standin/confine/confine.go
+++ b/internal/standin/confine/confine.go
@@ -232,13 +232,19 @@
 }
 
 // ResidentKB returns the resident memory of a process in KB; 0 if it has ended.
-func ResidentKB(pid int) int64 {
+func ResidentKB(pid int) int64 { return statusKB(pid, "VmRSS:") }
+
+// ProgramKB returns the part of ResidentKB that is the program and its libraries.
+func ProgramKB(pid int) int64 { return statusKB(pid, "RssFile:") }
+
+// statusKB returns a field of a process's status; 0 if it has ended.
+func statusKB(pid int, field string) int64 {
 	text, err := os.ReadFile("/proc/" + strconv.Itoa(pid) + "/status")
 	if err != nil {
 		return 0
 	}
 	for line := range strings.SplitSeq(string(text), "\n") {
-		if s, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+		if s, ok := strings.CutPrefix(line, field); ok {
 			n, _ := strconv.ParseInt(strings.Fields(s)[0], 10, 64)
 			return n
 		}
