Platform front: the account of what a client sent is settled after background pieces, too

Cause: a piece that found no further request returned before it charged the client's account, so that a client whose input was all handled stayed charged, and could be the first to be refused when others fill the budget.

Measured: TestRequestsOfOneClientAreServedInPieces failed with its new check (bytes charged though nothing waits), and passes.

--- a/internal/front/platform/fairness_test.go
+++ b/internal/front/platform/fairness_test.go
@@ -10,6 +10,7 @@
 
 	"kiteloft/decide"
 	"kiteloft/internal/front"
+	"kiteloft/internal/memory"
 )
 
 // busyCore is a core whose clock advances with each look at it, and whose background tasks run when
@@ -61,6 +62,8 @@
 	const requests = 1000
 	d := &busyCore{fakeCore: fakeCore{now: time.Hour}, cost: front.PieceTime / 4}
 	f := New(d, []decide.Class{{Name: "read"}}, nil, fakeLimit{}, zerolog.Nop())
+	budget := memory.NewBudget(1 << 20)
+	f.LimitInput(budget)
 	greedy, usual := &fakeConn{}, &fakeConn{}
 	first := f.Accept(greedy)
 	first.Data([]byte(strings.Repeat(readinessCheck, requests)))
@@ -79,6 +82,9 @@
 	if n := answers(greedy.written); n != requests+1 || pieces < requests/5 {
 		t.Errorf("%d answers in %d pieces, want all of %d in many", n, pieces, requests+1)
 	}
+	if n := budget.Used(); n != 0 {
+		t.Errorf("%d bytes are charged, though nothing waits", n)
+	}
 }
 
 // TestRequestsWaitWhileTheTurnIsSpent guards against many clients' input adding up to a long turn.
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -231,7 +231,7 @@
 	until := c.f.core.ReadClock() + front.PieceTime
 	for c.current == nil && !c.closing {
 		if c.waitForInput() || c.waitForOutput() || !c.serveOne() {
-			return
+			break
 		}
 		if c.f.core.ReadClock() >= until && c.current == nil && c.hasPendingInput() {
 			c.servePieceBy(c.f.core.InBackground)
